Serve a call through separate processes

Cause: the repository is empty; the whole path has to exist before the decisions can be tried on it.

Change: design page, workspace with formatter, linter (verbs, lifetimes, import cycles), mocha reporter with KNOWN-RED handling, shared library types, headers, thin node daemon, platform and upstream stand-ins.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,116 @@
+// The linter: Google TypeScript Style Guide, verbs from docs/style.md, and the
+// import direction between life spans.
+import {readFileSync} from 'node:fs';
+import {createTypeScriptImportResolver} from 'eslint-import-resolver-typescript';
+import importX from 'eslint-plugin-import-x';
+import tseslint from 'typescript-eslint';
+
+const VERBS = new Set(
+  (
+    readFileSync(new URL('docs/style.md', import.meta.url), 'utf8')
+      .split('\n')
+      .find((line) => line.startsWith('add, ')) ?? ''
+  ).split(', '),
+);
+
+const LIBRARY = './packages/sycamoreyoke/src';
+const LIFE_SPANS = ['request', 'connection', 'version', 'process'];
+
+/** A module imports only from life spans as long as its own or longer. */
+const lifeSpanZones = LIFE_SPANS.flatMap((span, index) =>
+  LIFE_SPANS.slice(0, index).map((shorter) => ({
+    target: `${LIBRARY}/${span}`,
+    from: `${LIBRARY}/${shorter}`,
+  })),
+);
+
+const rootZones = LIFE_SPANS.map((span) => ({
+  target: `${LIBRARY}/*.ts`,
+  from: `${LIBRARY}/${span}`,
+}));
+
+const verbRule = {
+  meta: {type: 'suggestion', schema: []},
+  create(context) {
+    const check = (node, name) => {
+      const verb = /^[a-z]+/.exec(name)?.[0] ?? '';
+      if (!VERBS.has(verb)) {
+        context.report({
+          node,
+          message: `"${name}" does not begin with a verb from docs/style.md`,
+        });
+      }
+    };
+    return {
+      FunctionDeclaration(node) {
+        if (node.id) check(node, node.id.name);
+      },
+      MethodDefinition(node) {
+        const isNamed =
+          node.kind === 'method' && node.key.type === 'Identifier';
+        if (isNamed && !node.override) check(node, node.key.name);
+      },
+    };
+  },
+};
+
+export default tseslint.config(
+  {
+    ignores: [
+      '**/dist/**',
+      '**/gen/**',
+      '**/*.mjs',
+      'eslint.config.js',
+      '**/bin/**',
+    ],
+  },
+  ...tseslint.configs.recommendedTypeChecked,
+  {
+    languageOptions: {parserOptions: {projectService: true}},
+    plugins: {
+      'import-x': importX,
+      house: {rules: {'verb-first': verbRule}},
+    },
+    settings: {
+      'import-x/resolver-next': [
+        createTypeScriptImportResolver({project: 'tsconfig.json'}),
+      ],
+    },
+    rules: {
+      'house/verb-first': 'error',
+      'import-x/no-cycle': 'error',
+      'import-x/no-default-export': 'error',
+      'import-x/no-restricted-paths': [
+        'error',
+        {zones: [...lifeSpanZones, ...rootZones]},
+      ],
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
+      '@typescript-eslint/naming-convention': [
+        'error',
+        {selector: 'typeLike', format: ['PascalCase']},
+        {selector: 'enumMember', format: ['UPPER_CASE']},
+        {
+          selector: 'variable',
+          modifiers: ['const', 'global'],
+          format: ['camelCase', 'UPPER_CASE', 'PascalCase'],
+        },
+        {selector: 'variable', format: ['camelCase']},
+        {selector: 'function', format: ['camelCase']},
+        {selector: 'classMethod', format: ['camelCase']},
+      ],
+      '@typescript-eslint/no-unused-expressions': 'off',
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        {allowNumber: true, allowBoolean: true},
+      ],
+      eqeqeq: ['error', 'always'],
+      'prefer-const': 'error',
+      'max-lines': ['error', {max: 400, skipBlankLines: true}],
+    },
+  },
+  {
+    files: ['**/*.test.ts'],
+    rules: {'max-lines': ['error', {max: 500, skipBlankLines: true}]},
+  },
+);
--- /dev/null
+++ b/packages/cli/bin/sycamoreyoke.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,17 @@
+/** The command line of sycamoreyoke. */
+import {defineCommand, runMain} from 'citty';
+
+const main = defineCommand({
+  meta: {
+    name: 'sycamoreyoke',
+    version: '0.1.0',
+    description: 'Overload control for service call graphs',
+  },
+  subCommands: {
+    node: async () => (await import('./commands/node.js')).nodeCommand,
+    'stand-in': async () =>
+      (await import('./commands/standIn.js')).standInCommand,
+  },
+});
+
+await runMain(main);
--- /dev/null
+++ b/packages/node/src/process/gateTask.ts
@@ -0,0 +1,73 @@
+import type {Clock} from 'sycamoreyoke/clock';
+import type {
+  AdmissionLevel,
+  Arrival,
+  Completion,
+  Gate,
+  GateAction,
+} from 'sycamoreyoke/process/types';
+import {GateActionKind} from 'sycamoreyoke/process/types';
+
+/** Period of the gate's expiry check. */
+const TICK_MS = 20;
+
+type RefusalAction = Extract<GateAction, {kind: GateActionKind.REFUSE}>;
+
+/** Undefined when the ticket may start. */
+type Verdict = RefusalAction | undefined;
+
+/** Owns the gate and hands each waiting call its verdict. */
+export class GateTask {
+  private readonly waiting = new Map<string, (verdict: Verdict) => void>();
+  private timer?: NodeJS.Timeout;
+
+  constructor(
+    private readonly gate: Gate,
+    readonly clock: Clock,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => this.apply(this.gate.tick()), TICK_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Resolves once the gate has started or refused the ticket. */
+  admit(arrival: Arrival): Promise<Verdict> {
+    return new Promise((resolve) => {
+      this.waiting.set(arrival.ticket, resolve);
+      this.apply(this.gate.offer(arrival));
+    });
+  }
+
+  finish(ticket: string, completion: Completion): void {
+    this.apply(this.gate.finish(ticket, completion));
+  }
+
+  cancel(ticket: string): void {
+    this.apply(this.gate.cancel(ticket));
+  }
+
+  readLevel(): AdmissionLevel {
+    return this.gate.readLevel();
+  }
+
+  /** Counts for status and metrics. */
+  read(): {running: number; waiting: number; limit: number} {
+    return {
+      running: this.gate.countRunning(),
+      waiting: this.gate.countWaiting(),
+      limit: this.gate.readLimit(),
+    };
+  }
+
+  private apply(actions: readonly GateAction[]): void {
+    for (const action of actions) {
+      const resolve = this.waiting.get(action.ticket);
+      this.waiting.delete(action.ticket);
+      resolve?.(action.kind === GateActionKind.REFUSE ? action : undefined);
+    }
+  }
+}
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/events.ts
@@ -0,0 +1,109 @@
+import type {HybridClock, HybridTime} from './hybridClock.js';
+
+/** Numbers of the events; docs/events.md describes each. */
+export enum EventCode {
+  NODE_STARTED = 1000,
+  NODE_READY = 1001,
+  NODE_LEAVING = 1002,
+  NODE_STOPPED = 1003,
+  NODE_PAUSED = 1004,
+  NODE_WARMED = 1005,
+  SETTINGS_INVALID = 1010,
+  REQUEST_ADMITTED = 1100,
+  REQUEST_QUEUED = 1101,
+  REQUEST_REFUSED = 1102,
+  REQUEST_STARTED = 1103,
+  REQUEST_FINISHED = 1104,
+  REQUEST_JOINED = 1105,
+  REQUEST_REPLAYED = 1106,
+  REQUEST_MALFORMED = 1107,
+  CALL_ROUTED = 1200,
+  CALL_RETRIED = 1201,
+  CALL_COMPLETED = 1202,
+  CALL_REFUSED_EARLY = 1203,
+  RESPONSE_DROPPED = 1204,
+  CONNECTION_REPLACED = 1205,
+  LIMIT_CHANGED = 1300,
+  CLAIM_MADE = 1400,
+  CLAIM_REFUSED = 1401,
+  CLAIM_RELEASED = 1402,
+  CLAIM_RECOGNISED = 1403,
+  MEMBER_JOINED = 1500,
+  MEMBER_SUSPECT = 1501,
+  MEMBER_LEAVING = 1502,
+  MEMBER_DEAD = 1503,
+  MEMBER_REFUTED = 1504,
+  CONFIGURATION_ADOPTED = 1600,
+  CONFIGURATION_STALE_REFUSED = 1601,
+  UPSTREAM_CRASHED = 1700,
+  REQUEST_SUSPECTED = 1701,
+  PLATFORM_UNAVAILABLE = 1800,
+  PLATFORM_AVAILABLE = 1801,
+  MESSAGE_MALFORMED = 1802,
+  INVARIANT_VIOLATED = 1900,
+}
+
+/** Values that an event carries. */
+export type EventDetails = Readonly<Record<string, string | number | boolean>>;
+
+/** One entry of the timeline. */
+export interface TimelineEvent {
+  readonly time: HybridTime;
+  readonly process: string;
+  readonly code: EventCode;
+  readonly requestId?: string;
+  readonly details: EventDetails;
+}
+
+/** Takes an event; the details may name the request in `requestId`. */
+export type EventRecorder = (
+  code: EventCode,
+  details?: EventDetails,
+  requestId?: string,
+) => void;
+
+/** Called with every recorded event, for the log. */
+export type EventSink = (event: TimelineEvent) => void;
+
+/** Events kept by each process. */
+export const EVENT_RING_CAPACITY = 10_000;
+
+/** Bounded ring of the latest events of a process. */
+export class EventRing {
+  private readonly slots: Array<TimelineEvent | undefined>;
+  private next = 0;
+
+  constructor(
+    private readonly process: string,
+    private readonly hybridClock: HybridClock,
+    private readonly sink: EventSink = () => undefined,
+    capacity = EVENT_RING_CAPACITY,
+  ) {
+    this.slots = new Array<TimelineEvent | undefined>(capacity);
+  }
+
+  /** Adds an event, in place of the oldest when the ring is full. */
+  readonly record: EventRecorder = (code, details = {}, requestId) => {
+    const event: TimelineEvent = {
+      time: this.hybridClock.read(),
+      process: this.process,
+      code,
+      details,
+      ...(requestId === undefined ? {} : {requestId}),
+    };
+    this.slots[this.next % this.slots.length] = event;
+    this.next += 1;
+    this.sink(event);
+  };
+
+  /** Events still held, oldest first. */
+  list(): TimelineEvent[] {
+    const start = Math.max(0, this.next - this.slots.length);
+    const events: TimelineEvent[] = [];
+    for (let index = start; index < this.next; index += 1) {
+      const event = this.slots[index % this.slots.length];
+      if (event) events.push(event);
+    }
+    return events;
+  }
+}
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/hybridClock.ts
@@ -0,0 +1,36 @@
+import type {Clock} from '../clock.js';
+
+/** Hybrid logical time: wall-clock milliseconds and a counter that orders ties. */
+export interface HybridTime {
+  readonly wallMs: number;
+  readonly counter: number;
+}
+
+/** Orders two hybrid times; negative when the first is earlier. */
+export function compareHybridTimes(a: HybridTime, b: HybridTime): number {
+  return a.wallMs - b.wallMs || a.counter - b.counter;
+}
+
+/** Hybrid logical clock of a process. */
+export class HybridClock {
+  private last: HybridTime = {wallMs: 0, counter: 0};
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Time of a local event, later than all times read or observed before. */
+  read(): HybridTime {
+    const wallMs = this.clock.readDate().getTime();
+    this.last =
+      wallMs > this.last.wallMs
+        ? {wallMs, counter: 0}
+        : {...this.last, counter: this.last.counter + 1};
+    return this.last;
+  }
+
+  /** Takes note of the time that a message carried. */
+  observe(remote: HybridTime): void {
+    if (compareHybridTimes(remote, this.last) > 0) {
+      this.last = remote;
+    }
+  }
+}
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/simpleRouter.ts
@@ -0,0 +1,32 @@
+import type {Random} from '../random.js';
+import {takeInteger} from '../random.js';
+import type {Member, Router} from './types.js';
+import {MemberState} from './types.js';
+
+/** Uniform random choice among the active members; a baseline. */
+export class SimpleRouter implements Router {
+  private readonly members = new Map<string, readonly Member[]>();
+
+  constructor(private readonly random: Random) {}
+
+  choose(service: string, excluded: ReadonlySet<string>): Member | undefined {
+    const candidates = this.list(service).filter(
+      (member) =>
+        member.state === MemberState.ACTIVE &&
+        !excluded.has(member.incarnation),
+    );
+    return candidates[takeInteger(this.random, candidates.length)];
+  }
+
+  start(): void {}
+
+  finish(): void {}
+
+  update(service: string, members: readonly Member[]): void {
+    this.members.set(service, members);
+  }
+
+  list(service: string): readonly Member[] {
+    return this.members.get(service) ?? [];
+  }
+}
--- /dev/null
+++ b/packages/sycamoreyoke/src/version/types.ts
@@ -0,0 +1,81 @@
+import type {RepeatGuard} from '../types.js';
+
+/** Kinds of the named objects of a configuration. */
+export enum ObjectKind {
+  SERVICE = 'service',
+  REQUEST_CLASS = 'requestClass',
+  RETRY_LIMIT = 'retryLimit',
+  CALLER = 'caller',
+  POLICY = 'policy',
+}
+
+/** Importance as operators write it. */
+export enum ImportanceName {
+  LOW = 'low',
+  NORMAL = 'normal',
+  HIGH = 'high',
+  CRITICAL = 'critical',
+}
+
+/** What a deployment weighs most under overload. */
+export enum Lean {
+  RECOVERY = 'recovery',
+  GOODPUT = 'goodput',
+}
+
+export interface ServiceObject {
+  readonly kind: ObjectKind.SERVICE;
+  readonly name: string;
+  readonly policy: string;
+}
+
+export interface RequestClassObject {
+  readonly kind: ObjectKind.REQUEST_CLASS;
+  readonly name: string;
+  readonly service: string;
+  readonly importance: ImportanceName;
+  readonly idempotent: boolean;
+  readonly guard: RepeatGuard;
+  readonly retryLimit: string;
+  readonly timeoutMs: number;
+}
+
+export interface RetryLimitObject {
+  readonly kind: ObjectKind.RETRY_LIMIT;
+  readonly name: string;
+  /** Retries for one request across the whole call chain. */
+  readonly perRequest: number;
+  /** Retries as a share of first attempts to a service. */
+  readonly shareOfTraffic: number;
+  readonly backoffBaseMs: number;
+  readonly backoffMaxMs: number;
+}
+
+export interface CallerObject {
+  readonly kind: ObjectKind.CALLER;
+  readonly name: string;
+  readonly tokenSha256: string;
+  readonly classes: readonly string[];
+  /** The caller holds its own retry ledger. */
+  readonly trusted: boolean;
+}
+
+export interface PolicyObject {
+  readonly kind: ObjectKind.POLICY;
+  readonly name: string;
+  readonly lean: Lean;
+  readonly queueLimit: number;
+}
+
+export type ConfigurationObject =
+  | ServiceObject
+  | RequestClassObject
+  | RetryLimitObject
+  | CallerObject
+  | PolicyObject;
+
+/** A whole set of objects in force together. */
+export interface Configuration {
+  readonly version: number;
+  readonly objects: readonly ConfigurationObject[];
+}
--- /dev/null
+++ b/scripts/reporter.mjs
@@ -0,0 +1,55 @@
+// Mocha reporter: prints failures, passes over the tests that KNOWN-RED.txt
+// lists, and fails when a listed test passes or is missing.
+import {existsSync, readFileSync} from 'node:fs';
+import Mocha from 'mocha';
+
+const KNOWN_RED_FILE = new URL('../KNOWN-RED.txt', import.meta.url);
+const ENTRY = /^test: (.+)$/;
+
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED_FILE)) return new Set();
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  return new Set(lines.map((line) => ENTRY.exec(line)?.[1]).filter(Boolean));
+}
+
+export default class KnownRedReporter extends Mocha.reporters.Base {
+  constructor(runner, options) {
+    super(runner, options);
+    const knownRed = readKnownRed();
+    const seen = new Set();
+    const counts = {passed: 0, failed: 0, knownRed: 0};
+    runner.on('pass', (test) => {
+      seen.add(test.title);
+      if (knownRed.has(test.title)) {
+        counts.failed += 1;
+        console.log(`listed in KNOWN-RED.txt but passes: ${test.title}`);
+      } else {
+        counts.passed += 1;
+      }
+    });
+    runner.on('fail', (test, error) => {
+      seen.add(test.title);
+      if (knownRed.has(test.title)) {
+        counts.knownRed += 1;
+        console.log(`known red: ${test.title}: ${error.message}`);
+      } else {
+        counts.failed += 1;
+        console.log(`failed: ${test.title}\n${error.stack ?? error.message}`);
+      }
+    });
+    this.finish = (done) => {
+      for (const title of knownRed) {
+        if (seen.has(title)) continue;
+        counts.failed += 1;
+        console.log(`listed in KNOWN-RED.txt but did not run: ${title}`);
+      }
+      if (counts.knownRed > 0) console.log(`known red: ${counts.knownRed}`);
+      console.log(`mocha: ${counts.passed} passed, ${counts.failed} failed`);
+      done(counts.failed);
+    };
+  }
+
+  done(failures, callback) {
+    this.finish(callback);
+  }
+}
