--- /dev/null
+++ b/packages/cli/src/commands/standIn/upstream.ts
@@ -0,0 +1,52 @@
+import type {AddressInfo} from 'node:net';
+import {
+  behaviourSchema,
+  parseCallsBelow,
+} from '@sycamoreyoke/standins/upstream/options';
+import {startUpstream} from '@sycamoreyoke/standins/upstream/upstreamServer';
+import {defineCommand} from 'citty';
+import {readSettings} from 'sycamoreyoke/settings';
+import {z} from 'zod';
+import {printReady} from '../../ready.js';
+
+const settingsSchema = z.strictObject({
+  address: z.ipv4().default('127.0.0.1').describe('address to listen on'),
+  port: z.coerce.number().int().min(0).max(65_535).default(0),
+  name: z.string().default('upstream').describe('name in its responses'),
+  connections: z.coerce.number().int().min(1).max(10_000).default(350),
+  egress: z.url().optional().describe('URL of the local port of its node'),
+  calls: z
+    .string()
+    .default('')
+    .describe('calls that it makes, such as "book-resole>status"'),
+  ...behaviourSchema.shape,
+});
+
+/** Runs the stand-in of an upstream until SIGTERM. */
+export const upstreamCommand = defineCommand({
+  meta: {name: 'upstream', description: 'An upstream with slots'},
+  async run({rawArgs}) {
+    const {address, port, name, connections, egress, calls, ...behaviour} =
+      readSettings(
+        'settings of the upstream stand-in',
+        settingsSchema,
+        rawArgs,
+        process.env,
+      );
+    const upstream = await startUpstream(
+      {
+        name,
+        connections,
+        callsBelow: parseCallsBelow(calls),
+        behaviour,
+        ...(egress === undefined ? {} : {egress}),
+      },
+      port,
+      address,
+    );
+    printReady({port: (upstream.server.address() as AddressInfo).port});
+    process.once('SIGTERM', () => {
+      void upstream.drain().then(() => process.exit(0));
+    });
+  },
+});
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -10,7 +10,7 @@
   subCommands: {
     node: async () => (await import('./commands/node.js')).nodeCommand,
     'stand-in': async () =>
-      (await import('./commands/standIn.js')).standInCommand,
+      (await import('./commands/standIn/standIn.js')).standInCommand,
   },
 });
 
--- /dev/null
+++ b/packages/node/src/connection/memberCodec.ts
@@ -0,0 +1,36 @@
+/** Maps members between the library and the wire. */
+import {create} from '@bufbuild/protobuf';
+import type {Member} from 'sycamoreyoke/process/types';
+import {MemberState} from 'sycamoreyoke/process/types';
+import type {Member as WireMember} from '../gen/sycamoreyoke/control/v1/control_pb.js';
+import {
+  MemberSchema,
+  MemberState as WireState,
+} from '../gen/sycamoreyoke/control/v1/control_pb.js';
+
+const TO_WIRE: Readonly<Record<MemberState, WireState>> = {
+  [MemberState.JOINING]: WireState.JOINING,
+  [MemberState.ACTIVE]: WireState.ACTIVE,
+  [MemberState.SUSPECT]: WireState.SUSPECT,
+  [MemberState.LEAVING]: WireState.LEAVING,
+  [MemberState.DEAD]: WireState.DEAD,
+};
+
+const FROM_WIRE: ReadonlyMap<WireState, MemberState> = new Map(
+  Object.values(MemberState).map((state) => [TO_WIRE[state], state]),
+);
+
+/** Encodes a member. */
+export function encodeMember(member: Member): WireMember {
+  return create(MemberSchema, {...member, state: TO_WIRE[member.state]});
+}
+
+/** Decodes members; those with an unknown state are skipped. */
+export function decodeMembers(members: readonly WireMember[]): Member[] {
+  return members.flatMap((member) => {
+    const state = FROM_WIRE.get(member.state);
+    if (state === undefined) return [];
+    const {$typeName: _name, $unknown: _rest, ...fields} = member;
+    return [{...fields, state}];
+  });
+}
--- /dev/null
+++ b/packages/node/src/process/eventLog.ts
@@ -0,0 +1,63 @@
+/** Writes events to the log, one JSON line each. */
+import log from 'loglevel';
+import type {LogLevelDesc} from 'loglevel';
+import type {EventSink, TimelineEvent} from 'sycamoreyoke/process/events';
+import {EventCode} from 'sycamoreyoke/process/events';
+
+const ERRORS = new Set([
+  EventCode.SETTINGS_INVALID,
+  EventCode.INVARIANT_VIOLATED,
+]);
+
+const WARNINGS = new Set([
+  EventCode.NODE_PAUSED,
+  EventCode.MEMBER_SUSPECT,
+  EventCode.MEMBER_DEAD,
+  EventCode.CONFIGURATION_STALE_REFUSED,
+  EventCode.UPSTREAM_CRASHED,
+  EventCode.REQUEST_SUSPECTED,
+  EventCode.PLATFORM_UNAVAILABLE,
+  EventCode.MESSAGE_MALFORMED,
+]);
+
+/** Codes of single requests, which would flood the log at level info. */
+const FIRST_REQUEST_CODE = 1100;
+const LAST_REQUEST_CODE = 1399;
+
+function isPerRequest(code: EventCode): boolean {
+  const number = Number(code);
+  return number >= FIRST_REQUEST_CODE && number <= LAST_REQUEST_CODE;
+}
+
+/** Renders an event as one JSON line. */
+export function formatEvent(event: TimelineEvent): string {
+  return JSON.stringify({
+    time: new Date(event.time.wallMs).toISOString(),
+    counter: event.time.counter,
+    process: event.process,
+    event: event.code,
+    name: EventCode[event.code],
+    ...(event.requestId === undefined ? {} : {requestId: event.requestId}),
+    ...event.details,
+  });
+}
+
+/** Creates the sink that writes to the standard error stream. */
+export function createEventLog(level: LogLevelDesc): EventSink {
+  log.methodFactory = () => (line: string) => {
+    process.stderr.write(`${line}\n`);
+  };
+  log.setLevel(level, false);
+  return (event) => {
+    // Formatting costs more than the check, and requests are logged at debug.
+    if (isPerRequest(event.code)) {
+      if (log.getLevel() <= log.levels.DEBUG) log.debug(formatEvent(event));
+    } else if (ERRORS.has(event.code)) {
+      log.error(formatEvent(event));
+    } else if (WARNINGS.has(event.code)) {
+      log.warn(formatEvent(event));
+    } else {
+      log.info(formatEvent(event));
+    }
+  };
+}
--- /dev/null
+++ b/packages/standins/src/upstream/executions.ts
@@ -0,0 +1,45 @@
+/** Counts how often each request ran. */
+
+/** How often a request ran, for the check of the at-most-once invariant. */
+export interface Execution {
+  readonly requestId: string;
+  readonly requestClass: string;
+  readonly started: number;
+  readonly finished: number;
+}
+
+/** Keeps the executions of an upstream, oldest dropped first. */
+export class Executions {
+  private readonly byRequest = new Map<string, Execution>();
+
+  constructor(private readonly capacity = 500_000) {}
+
+  start(requestId: string, requestClass: string): void {
+    const key = `${requestClass}/${requestId}`;
+    const known = this.byRequest.get(key);
+    this.byRequest.set(key, {
+      requestId,
+      requestClass,
+      started: (known?.started ?? 0) + 1,
+      finished: known?.finished ?? 0,
+    });
+    if (this.byRequest.size > this.capacity) {
+      const oldest = this.byRequest.keys().next();
+      if (!oldest.done) this.byRequest.delete(oldest.value);
+    }
+  }
+
+  finish(requestId: string, requestClass: string): void {
+    const key = `${requestClass}/${requestId}`;
+    const known = this.byRequest.get(key);
+    if (!known) return;
+    this.byRequest.set(key, {...known, finished: known.finished + 1});
+  }
+
+  list(requestClass?: string): Execution[] {
+    const all = [...this.byRequest.values()];
+    return requestClass === undefined
+      ? all
+      : all.filter((execution) => execution.requestClass === requestClass);
+  }
+}
--- a/packages/standins/src/upstream/upstreamServer.ts
+++ b/packages/standins/src/upstream/upstreamServer.ts
@@ -1,19 +1,29 @@
-/** Stand-in of an upstream: slots, service time and calls to other services. */
+/**
+ * Stand-in of an upstream: slots, connection limit, cold start, service time,
+ * drain, crash on a marked request, cancellation, deadlines, and health and
+ * load endpoints that mislead.
+ */
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import {setTimeout as wait} from 'node:timers/promises';
-import {request as sendRequest} from 'undici';
-
-/** Behaviour of an upstream stand-in. */
-export interface UpstreamOptions {
-  readonly name: string;
-  readonly slots: number;
-  readonly serviceTimeMs: number;
-  /** URL of the local port of the node beside it. */
-  readonly egress?: string;
-  /** Request classes that it calls for each request that it runs. */
-  readonly calls: readonly string[];
+import {Agent, request as sendRequest} from 'undici';
+import {SycamoreyokeError} from 'sycamoreyoke/errors';
+import {Executions} from './executions.js';
+import type {Behaviour, UpstreamOptions} from './options.js';
+import {behaviourSchema} from './options.js';
+import {createPayload} from './payload.js';
+import type {UpstreamBody} from './payload.js';
+
+const CRASH_EXIT_CODE = 70;
+const LOAD_SAMPLE_MS = 100;
+const STAND_IN_PREFIX = '/stand-in/';
+
+/** A running upstream stand-in. */
+export interface RunningUpstream {
+  readonly server: Server;
+  /** Refuses new requests, waits for running ones and closes. */
+  drain(): Promise<void>;
 }
 
 /** Opens an upstream stand-in. */
@@ -21,57 +31,233 @@
   options: UpstreamOptions,
   port: number,
   address: string,
-): Promise<Server> {
-  let running = 0;
-  const handle = async (request: IncomingMessage, response: ServerResponse) => {
-    if (running >= options.slots) {
-      response.writeHead(503).end();
-      return;
-    }
-    running += 1;
-    try {
-      await wait(options.serviceTimeMs);
-      const below = await sendBelow(options, request);
-      const id = String(request.headers['sycamoreyoke-request-id'] ?? '');
-      sendAnswer(response, `${JSON.stringify({by: options.name, id, below})}`);
-    } finally {
-      running -= 1;
-    }
-  };
+): Promise<RunningUpstream> {
+  const upstream = new UpstreamStandIn(options);
   const server = createServer((request, response) => {
-    handle(request, response).catch(() => response.destroy());
+    upstream.handle(request, response).catch(() => response.destroy());
   });
+  server.maxConnections = options.connections;
+  server.keepAliveTimeout = 60_000;
   await new Promise<void>((resolve) => server.listen(port, address, resolve));
-  return server;
+  const drain = async () => {
+    upstream.drain();
+    await new Promise<void>((resolve) => server.close(() => resolve()));
+  };
+  return {server, drain};
 }
 
-async function sendBelow(
-  options: UpstreamOptions,
-  request: IncomingMessage,
-): Promise<unknown[]> {
-  if (!options.egress) return [];
-  const id = String(request.headers['sycamoreyoke-request-id'] ?? '');
-  const below: unknown[] = [];
-  for (const [index, requestClass] of options.calls.entries()) {
-    const response = await sendRequest(`${options.egress}/`, {
-      headers: {
-        'sycamoreyoke-class': requestClass,
-        'sycamoreyoke-request-id': `${id.slice(0, 60)}-${index}`,
-        'sycamoreyoke-parent-id': id,
-      },
+/** A call to another service failed, so the own request fails too. */
+class CallBelowError extends SycamoreyokeError {
+  constructor(requestClass: string, status: number) {
+    super(`call of class "${requestClass}" failed with status ${status}`);
+  }
+}
+
+interface LoadSample {
+  readonly atMs: number;
+  readonly running: number;
+}
+
+class UpstreamStandIn {
+  private behaviour: Behaviour;
+  private running = 0;
+  private isDraining = false;
+  private readonly startedMs = performance.now();
+  private readonly executions = new Executions();
+  private readonly agent = new Agent({connections: 128});
+  private loadSamples: readonly LoadSample[] = [];
+
+  constructor(private readonly options: UpstreamOptions) {
+    this.behaviour = options.behaviour;
+  }
+
+  drain(): void {
+    this.isDraining = true;
+  }
+
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = request.url ?? '/';
+    if (url.startsWith(STAND_IN_PREFIX)) {
+      await this.serveControl(url, request, response);
+    } else if (this.isDraining || this.running >= this.behaviour.slots) {
+      request.resume();
+      sendShed(response);
+    } else {
+      await this.run(request, response);
+    }
+  }
+
+  private async run(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const requestId = readHeader(request, 'sycamoreyoke-request-id');
+    const requestClass = readHeader(request, 'sycamoreyoke-class');
+    if (request.headers['x-stand-in-crash'] && this.behaviour.crashOnMark) {
+      process.exit(CRASH_EXIT_CODE);
+    }
+    const cancelled = new AbortController();
+    response.once('close', () => {
+      if (!response.writableFinished) cancelled.abort();
     });
-    below.push(await response.body.json());
+    this.running += 1;
+    this.recordLoad();
+    this.executions.start(requestId, requestClass);
+    try {
+      request.resume();
+      const timeoutMs = Number(readHeader(request, 'sycamoreyoke-timeout-ms'));
+      const neededMs = this.computeServiceTime();
+      await wait(neededMs, undefined, {signal: cancelled.signal});
+      const below = await this.sendBelow(requestId, requestClass, timeoutMs);
+      this.executions.finish(requestId, requestClass);
+      sendBody(response, {
+        by: this.options.name,
+        requestId,
+        payload: createPayload(requestId, this.behaviour.payloadBytes),
+        below,
+      });
+    } catch (error) {
+      if (!(error instanceof CallBelowError)) throw error;
+      sendFailure(response, error.message);
+    } finally {
+      this.running -= 1;
+    }
+  }
+
+  private computeServiceTime(): number {
+    const {serviceTimeMs, coldMs, coldFactor} = this.behaviour;
+    const isCold = performance.now() - this.startedMs < coldMs;
+    // Between 0.5 and 1.5 times the mean, so that requests do not step in time.
+    const varied = serviceTimeMs * (0.5 + Math.random());
+    return isCold ? varied * coldFactor : varied;
   }
-  return below;
+
+  /** Makes the calls of the class; rejects when one of them fails. */
+  private async sendBelow(
+    requestId: string,
+    requestClass: string,
+    timeoutMs: number,
+  ): Promise<string[]> {
+    const {egress, callsBelow} = this.options;
+    const calls = callsBelow.filter((call) => call.onClass === requestClass);
+    if (egress === undefined) return [];
+    return Promise.all(
+      calls.map(async (call, index) => {
+        const response = await sendRequest(`${egress}/`, {
+          dispatcher: this.agent,
+          headers: {
+            'sycamoreyoke-class': call.requestClass,
+            'sycamoreyoke-request-id': `${requestId.slice(0, 60)}-${index}`,
+            'sycamoreyoke-parent-id': requestId,
+          },
+          signal: AbortSignal.timeout(timeoutMs > 0 ? timeoutMs : 5_000),
+        });
+        const body = (await response.body.json()) as UpstreamBody;
+        if (response.statusCode >= 400) {
+          throw new CallBelowError(call.requestClass, response.statusCode);
+        }
+        return body.by;
+      }),
+    );
+  }
+
+  private recordLoad(): void {
+    const atMs = performance.now();
+    const latest = this.loadSamples.at(-1);
+    if (latest && atMs - latest.atMs < LOAD_SAMPLE_MS) return;
+    this.loadSamples = [
+      ...this.loadSamples.slice(-1_000),
+      {atMs, running: this.running},
+    ];
+  }
+
+  private async serveControl(
+    url: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    switch (url.slice(STAND_IN_PREFIX.length).split('?')[0]) {
+      case 'health':
+        // Misleading on purpose: healthy whatever the load.
+        sendJson(response, {status: 'ok'});
+        return;
+      case 'load':
+        sendJson(response, {running: this.readLaggingLoad()});
+        return;
+      case 'executions':
+        sendJson(response, {executions: this.executions.list()});
+        return;
+      case 'behaviour':
+        await this.applyBehaviour(request, response);
+        return;
+      default:
+        response.writeHead(404).end();
+    }
+  }
+
+  private readLaggingLoad(): number {
+    const limitMs = performance.now() - this.behaviour.loadLagMs;
+    const old = this.loadSamples.filter((sample) => sample.atMs <= limitMs);
+    return old.at(-1)?.running ?? 0;
+  }
+
+  private async applyBehaviour(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const given = JSON.parse(Buffer.concat(chunks).toString()) as object;
+    const parsed = behaviourSchema.safeParse({...this.behaviour, ...given});
+    if (parsed.success) this.behaviour = parsed.data;
+    sendJson(response, parsed.success ? parsed.data : parsed.error.issues);
+  }
+}
+
+function readHeader(request: IncomingMessage, name: string): string {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+/** A refusal that states that the request was not run. */
+function sendShed(response: ServerResponse): void {
+  response
+    .writeHead(503, {
+      'sycamoreyoke-outcome': 'not-run',
+      'content-length': 0,
+    })
+    .end();
 }
 
-function sendAnswer(response: ServerResponse, text: string): void {
-  const body = Buffer.from(text);
+function sendBody(response: ServerResponse, content: UpstreamBody): void {
+  const body = Buffer.from(`${JSON.stringify(content)}\n`);
   const digest = createHash('sha256').update(body).digest('base64');
   response.writeHead(200, {
     'content-type': 'application/json',
     'content-length': body.length,
     'content-digest': `sha-256=:${digest}:`,
+    'sycamoreyoke-request-id': content.requestId,
+  });
+  response.end(body);
+}
+
+function sendFailure(response: ServerResponse, message: string): void {
+  const body = Buffer.from(`${JSON.stringify({message})}\n`);
+  response.writeHead(502, {
+    'content-type': 'application/json',
+    'content-length': body.length,
+  });
+  response.end(body);
+}
+
+function sendJson(response: ServerResponse, content: unknown): void {
+  const body = Buffer.from(`${JSON.stringify(content)}\n`);
+  response.writeHead(200, {
+    'content-type': 'application/json',
+    'content-length': body.length,
   });
   response.end(body);
 }
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/metrics.ts
@@ -0,0 +1,134 @@
+/** Counters, gauges and histograms of a process. */
+import type {Histogram} from 'hdr-histogram-js';
+import {build} from 'hdr-histogram-js';
+
+/** Labels of a series. */
+export type Labels = Readonly<Record<string, string>>;
+
+const HIGHEST_VALUE_US = 120_000_000;
+const SIGNIFICANT_DIGITS = 2;
+const QUANTILES = [50, 90, 99, 99.9] as const;
+const US_PER_SECOND = 1_000_000;
+const US_PER_MS = 1_000;
+
+interface Series {
+  readonly name: string;
+  readonly labels: Labels;
+}
+
+interface Counter extends Series {
+  value: number;
+}
+
+interface Gauge extends Series {
+  readonly read: () => number;
+}
+
+interface Timer extends Series {
+  readonly histogram: Histogram;
+  sumUs: number;
+}
+
+function formatLabels(labels: Labels): string {
+  const pairs = Object.entries(labels).map(
+    ([name, value]) => `${name}="${escapeLabel(value)}"`,
+  );
+  return pairs.length === 0 ? '' : `{${pairs.join(',')}}`;
+}
+
+function escapeLabel(value: string): string {
+  return value.replace(/[\\"\n]/g, (character) =>
+    character === '\n' ? '\\n' : `\\${character}`,
+  );
+}
+
+/** Owns all series of a process and renders them. */
+export class Metrics {
+  private readonly counters = new Map<string, Counter>();
+  private readonly gauges = new Map<string, Gauge>();
+  private readonly timers = new Map<string, Timer>();
+
+  /** Adds to a counter. */
+  count(name: string, labels: Labels = {}, amount = 1): void {
+    const key = name + formatLabels(labels);
+    const counter = this.counters.get(key);
+    if (counter) counter.value += amount;
+    else this.counters.set(key, {name, labels, value: amount});
+  }
+
+  /** Value of a counter, 0 when it was never counted. */
+  readCount(name: string, labels: Labels = {}): number {
+    return this.counters.get(name + formatLabels(labels))?.value ?? 0;
+  }
+
+  /** Registers a gauge that is read when the metrics are rendered. */
+  watch(name: string, read: () => number, labels: Labels = {}): void {
+    this.gauges.set(name + formatLabels(labels), {name, labels, read});
+  }
+
+  /** Records a duration in milliseconds. */
+  observe(name: string, milliseconds: number, labels: Labels = {}): void {
+    const key = name + formatLabels(labels);
+    const timer = this.timers.get(key) ?? this.createTimer(key, name, labels);
+    const us = Math.min(
+      HIGHEST_VALUE_US,
+      Math.max(1, Math.round(milliseconds * US_PER_MS)),
+    );
+    timer.histogram.recordValue(us);
+    timer.sumUs += us;
+  }
+
+  /** Renders all series in the Prometheus text format. */
+  render(): string {
+    return [
+      ...renderFamilies([...this.counters.values()], 'counter', (counter) => [
+        `${counter.name}${formatLabels(counter.labels)} ${counter.value}`,
+      ]),
+      ...renderFamilies([...this.gauges.values()], 'gauge', (gauge) => [
+        `${gauge.name}${formatLabels(gauge.labels)} ${gauge.read()}`,
+      ]),
+      ...renderFamilies([...this.timers.values()], 'summary', renderTimer),
+      '',
+    ].join('\n');
+  }
+
+  private createTimer(key: string, name: string, labels: Labels): Timer {
+    const histogram = build({
+      lowestDiscernibleValue: 1,
+      highestTrackableValue: HIGHEST_VALUE_US,
+      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+      bitBucketSize: 32,
+    });
+    const timer = {name, labels, histogram, sumUs: 0};
+    this.timers.set(key, timer);
+    return timer;
+  }
+}
+
+function renderTimer(timer: Timer): string[] {
+  const quantiles = QUANTILES.map((percentile) => {
+    const labels = {...timer.labels, quantile: String(percentile / 100)};
+    const seconds =
+      timer.histogram.getValueAtPercentile(percentile) / US_PER_SECOND;
+    return `${timer.name}${formatLabels(labels)} ${seconds}`;
+  });
+  const suffix = formatLabels(timer.labels);
+  return [
+    ...quantiles,
+    `${timer.name}_sum${suffix} ${timer.sumUs / US_PER_SECOND}`,
+    `${timer.name}_count${suffix} ${timer.histogram.totalCount}`,
+  ];
+}
+
+/** Groups series by name, as the text format wants them. */
+function renderFamilies<T extends Series>(
+  series: readonly T[],
+  type: string,
+  renderSeries: (series: T) => string[],
+): string[] {
+  const names = [...new Set(series.map(({name}) => name))].sort();
+  return names.flatMap((name) => [
+    `# TYPE ${name} ${type}`,
+    ...series.filter((one) => one.name === name).flatMap(renderSeries),
+  ]);
+}
