Show settings and examples in the help of each command

Cause: the help of node and stand-in listed no settings, because they are read by the settings reader and not by the command line library.

Change: commands are created from their settings schema; the schema gives the help, the check and the names of flags and variables.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -85,10 +85,7 @@
         {zones: [...lifeSpanZones, ...rootZones]},
       ],
       '@typescript-eslint/consistent-type-imports': 'error',
-      '@typescript-eslint/no-unused-vars': [
-        'error',
-        {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
-      ],
+      '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
       '@typescript-eslint/naming-convention': [
         'error',
         {selector: 'typeLike', format: ['PascalCase']},
--- a/packages/cli/src/commands/standIn/platform.ts
+++ b/packages/cli/src/commands/standIn/platform.ts
@@ -1,9 +1,8 @@
 import type {AddressInfo} from 'node:net';
 import {startPlatform} from '@sycamoreyoke/standins/platform/platformServer';
-import {defineCommand} from 'citty';
-import {readSettings} from 'sycamoreyoke/settings';
 import {z} from 'zod';
 import {printReady} from '../../ready.js';
+import {createSettingsCommand} from '../../settingsCommand.js';
 
 const settingsSchema = z.strictObject({
   address: z.ipv4().default('127.0.0.1').describe('address to listen on'),
@@ -11,15 +10,12 @@
 });
 
 /** Runs the stand-in of the table service and the object store. */
-export const platformCommand = defineCommand({
-  meta: {name: 'platform', description: 'Table service and object store'},
-  async run({rawArgs}) {
-    const settings = readSettings(
-      'settings of the platform stand-in',
-      settingsSchema,
-      rawArgs,
-      process.env,
-    );
+export const platformCommand = createSettingsCommand({
+  name: 'platform',
+  description: 'Run a stand-in of the table service and the object store',
+  examples: ['sycamoreyoke stand-in platform --port 7000'],
+  schema: settingsSchema,
+  async run(settings) {
     const server = await startPlatform(settings.port, settings.address);
     printReady({port: (server.address() as AddressInfo).port});
     process.once('SIGTERM', () => {
--- a/packages/cli/src/commands/standIn/upstream.ts
+++ b/packages/cli/src/commands/standIn/upstream.ts
@@ -4,10 +4,9 @@
   parseCallsBelow,
 } from '@sycamoreyoke/standins/upstream/options';
 import {startUpstream} from '@sycamoreyoke/standins/upstream/upstreamServer';
-import {defineCommand} from 'citty';
-import {readSettings} from 'sycamoreyoke/settings';
 import {z} from 'zod';
 import {printReady} from '../../ready.js';
+import {createSettingsCommand} from '../../settingsCommand.js';
 
 const settingsSchema = z.strictObject({
   address: z.ipv4().default('127.0.0.1').describe('address to listen on'),
@@ -23,16 +22,16 @@
 });
 
 /** Runs the stand-in of an upstream until SIGTERM. */
-export const upstreamCommand = defineCommand({
-  meta: {name: 'upstream', description: 'An upstream with slots'},
-  async run({rawArgs}) {
+export const upstreamCommand = createSettingsCommand({
+  name: 'upstream',
+  description: 'Run a stand-in of an upstream until SIGTERM',
+  examples: [
+    'sycamoreyoke stand-in upstream --name a --slots 35 --egress http://127.0.0.1:7301 --calls "book-resole>status"',
+  ],
+  schema: settingsSchema,
+  async run(settings) {
     const {address, port, name, connections, egress, calls, ...behaviour} =
-      readSettings(
-        'settings of the upstream stand-in',
-        settingsSchema,
-        rawArgs,
-        process.env,
-      );
+      settings;
     const upstream = await startUpstream(
       {
         name,
--- /dev/null
+++ b/packages/cli/src/settingsCommand.ts
@@ -0,0 +1,59 @@
+/** Commands whose arguments are the settings of a schema. */
+import type {CommandDef} from 'citty';
+import {defineCommand} from 'citty';
+import {ValidationError} from 'sycamoreyoke/errors';
+import {formatFlag, formatVariable, readSettings} from 'sycamoreyoke/settings';
+import type {z} from 'zod';
+import {ExitCode} from './exitCodes.js';
+
+/** What a command consists of. */
+export interface SettingsCommand<S extends z.ZodObject> {
+  readonly name: string;
+  readonly description: string;
+  readonly examples: readonly string[];
+  readonly schema: S;
+  readonly run: (settings: z.output<S>) => Promise<void>;
+}
+
+/** Describes the settings in the help of a command. */
+function describeSettings(schema: z.ZodObject) {
+  return Object.fromEntries(
+    Object.entries(schema.shape).map(([setting, type]) => [
+      formatFlag(setting).slice(2),
+      {
+        type: 'string' as const,
+        description: [
+          (type as z.ZodType).description ?? '',
+          `(${formatVariable(setting)})`,
+        ].join(' '),
+      },
+    ]),
+  );
+}
+
+/** Creates a command that reads its settings from flags and environment. */
+export function createSettingsCommand<S extends z.ZodObject>(
+  command: SettingsCommand<S>,
+): CommandDef {
+  return defineCommand({
+    meta: {
+      name: command.name,
+      description: [
+        command.description,
+        ...command.examples.map((example) => `  Example: ${example}`),
+      ].join('\n'),
+    },
+    args: describeSettings(command.schema),
+    async run({rawArgs}) {
+      try {
+        const subject = `settings of "${command.name}"`;
+        const {schema} = command;
+        await command.run(readSettings(subject, schema, rawArgs, process.env));
+      } catch (error) {
+        if (!(error instanceof ValidationError)) throw error;
+        process.stderr.write(`${error.message}\n`);
+        process.exitCode = ExitCode.USAGE;
+      }
+    },
+  }) as CommandDef;
+}
--- a/packages/node/src/connection/memberCodec.ts
+++ b/packages/node/src/connection/memberCodec.ts
@@ -30,7 +30,22 @@
   return members.flatMap((member) => {
     const state = FROM_WIRE.get(member.state);
     if (state === undefined) return [];
-    const {$typeName: _name, $unknown: _rest, ...fields} = member;
-    return [{...fields, state}];
+    return [
+      {
+        service: member.service,
+        incarnation: member.incarnation,
+        counter: member.counter,
+        address: member.address,
+        peerPort: member.peerPort,
+        controlPort: member.controlPort,
+        adminPort: member.adminPort,
+        publicPort: member.publicPort,
+        dataCentre: member.dataCentre,
+        region: member.region,
+        state,
+        weight: member.weight,
+        epoch: member.epoch,
+      },
+    ];
   });
 }
--- a/packages/sycamoreyoke/src/settings.ts
+++ b/packages/sycamoreyoke/src/settings.ts
@@ -121,14 +121,3 @@
   if (result.success && findings.length === 0) return result.data;
   throw new ValidationError(subject, findings);
 }
-
-/** One line of help for each setting of a schema. */
-export function formatSettingsHelp(schema: z.ZodObject): string {
-  return Object.entries(schema.shape)
-    .map(([setting, type]) => {
-      const description = (type as z.ZodType).description ?? '';
-      const names = `${formatFlag(setting)}, ${formatVariable(setting)}`;
-      return `  ${names}\n      ${description}`;
-    })
-    .join('\n');
-}
