Add control connections, event catalogue, status, timeline and explain

Cause: nodes have no way to exchange messages, and operators no way to see what the nodes did.

Change: connect listener and clients for the control service, which replace a connection after two messages without an answer; catalogue of numbered events that docs/events.md is rendered from, held by a test; commands that find all nodes from one and merge their events by hybrid time.

Result: npm test passes; the control connections are not wired yet.

--- /dev/null
+++ b/packages/cli/src/commands/timeline.ts
@@ -0,0 +1,59 @@
+import {z} from 'zod';
+import {ExitCode} from '../exitCodes.js';
+import {readFleet, readTimeline} from '../fleet.js';
+import {jsonSetting, nodesSetting} from '../nodesSetting.js';
+import {renderEvent} from '../renderEvents.js';
+import {createSettingsCommand} from '../settingsCommand.js';
+
+const schema = z.strictObject({
+  nodes: nodesSetting,
+  code: z.coerce
+    .number()
+    .int()
+    .optional()
+    .describe('only events of this number, or of its hundred (1500: 15xx)'),
+  requests: z
+    .stringbool()
+    .default(false)
+    .describe('true: also events of single requests; default false'),
+  limit: z.coerce
+    .number()
+    .int()
+    .min(1)
+    .max(1_000_000)
+    .default(1_000)
+    .describe('latest events to print, 1 to 1,000,000; default 1,000'),
+  json: jsonSetting,
+});
+
+const REQUEST_CODES = {first: 1100, last: 1299} as const;
+
+function isRequestCode(code: number): boolean {
+  return code >= REQUEST_CODES.first && code <= REQUEST_CODES.last;
+}
+
+function hasCode(code: number, wanted: number): boolean {
+  const isHundred = wanted % 100 === 0;
+  return isHundred ? Math.floor(code / 100) === wanted / 100 : code === wanted;
+}
+
+/** Merges the events of all processes into one timeline. */
+export const timelineCommand = createSettingsCommand({
+  name: 'timeline',
+  description: 'Merge the events of all nodes into one timeline',
+  examples: ['sycamoreyoke timeline --nodes http://10.0.0.1:9100 --code 1500'],
+  schema,
+  async run({nodes, code, requests, limit, json}) {
+    const reports = await readFleet(nodes);
+    const urls = reports.filter(({status}) => status).map(({url}) => url);
+    if (urls.length === 0) process.exitCode = ExitCode.UNAVAILABLE;
+    const events = (await readTimeline(urls))
+      .filter((event) => requests || !isRequestCode(event.code))
+      .filter((event) => code === undefined || hasCode(event.code, code))
+      .slice(-limit);
+    const lines = json
+      ? [JSON.stringify(events, null, 2)]
+      : events.map(renderEvent);
+    process.stdout.write(`${lines.join('\n')}\n`);
+  },
+});
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,10 @@
   },
   subCommands: {
     node: async () => (await import('./commands/node.js')).nodeCommand,
+    status: async () => (await import('./commands/status.js')).statusCommand,
+    timeline: async () =>
+      (await import('./commands/timeline.js')).timelineCommand,
+    explain: async () => (await import('./commands/explain.js')).explainCommand,
     'stand-in': async () =>
       (await import('./commands/standIn/standIn.js')).standInCommand,
   },
--- /dev/null
+++ b/packages/node/src/connection/controlListener.ts
@@ -0,0 +1,57 @@
+/** Listener for the messages of other nodes. */
+import type {Http2Server, ServerHttp2Session} from 'node:http2';
+import {createServer} from 'node:http2';
+import type {Socket} from 'node:net';
+import type {ServiceImpl} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {ControlService} from '../gen/sycamoreyoke/control/v1/control_pb.js';
+import type {SocketBytes} from './socketBytes.js';
+
+/** Handlers of all control messages. */
+export type ControlHandlers = ServiceImpl<typeof ControlService>;
+
+/** Largest control message in bytes; a snapshot of the configuration fits. */
+const MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
+
+/** A running control listener. */
+export interface ControlListener {
+  readonly server: Http2Server;
+  /** Ends all sessions once their streams have ended. */
+  close(): Promise<void>;
+}
+
+/** Opens the control listener. */
+export async function openControlListener(
+  handlers: ControlHandlers,
+  port: number,
+  address: string,
+  bytes: SocketBytes,
+  reportMalformed: (detail: string) => void,
+): Promise<ControlListener> {
+  const sessions = new Set<ServerHttp2Session>();
+  const server = createServer(
+    connectNodeAdapter({
+      routes: (router) => router.service(ControlService, handlers),
+      readMaxBytes: MAX_MESSAGE_BYTES,
+      grpc: false,
+      grpcWeb: false,
+    }),
+  );
+  server.on('connection', (socket: Socket) => bytes.add(socket));
+  server.on('session', (session: ServerHttp2Session) => {
+    sessions.add(session);
+    session.once('close', () => sessions.delete(session));
+    session.on('error', (error: Error) => reportMalformed(error.message));
+  });
+  server.on('sessionError', (error: Error) => reportMalformed(error.message));
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, address, resolve);
+  });
+  const close = () =>
+    new Promise<void>((resolve) => {
+      server.close(() => resolve());
+      for (const session of sessions) session.close();
+    });
+  return {server, close};
+}
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.test.ts
@@ -0,0 +1,9 @@
+import {readFileSync} from 'node:fs';
+import {expect} from 'chai';
+import {renderCatalogue} from './eventCatalogue.js';
+
+// Guards against an event in the code that operators cannot look up.
+it('events: docs/events.md is the catalogue of the code', () => {
+  const page = new URL('../../../../docs/events.md', import.meta.url);
+  expect(readFileSync(page, 'utf8')).to.equal(renderCatalogue());
+});
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -0,0 +1,219 @@
+/** Meaning of each numbered event. docs/events.md is rendered from it. */
+import {EventCode} from './events.js';
+
+/** Entry of the catalogue. */
+export interface CatalogueEntry {
+  readonly meaning: string;
+  /** Names and units of the details. */
+  readonly details: readonly string[];
+}
+
+function describe(meaning: string, ...details: string[]): CatalogueEntry {
+  return {meaning, details};
+}
+
+export const EVENT_CATALOGUE: Readonly<Record<EventCode, CatalogueEntry>> = {
+  [EventCode.NODE_STARTED]: describe(
+    'The node opened its listeners.',
+    'service',
+    'incarnation',
+  ),
+  [EventCode.NODE_READY]: describe(
+    'The node announced itself and takes calls.',
+    'version: configuration version',
+  ),
+  [EventCode.NODE_LEAVING]: describe(
+    'The node announced that it leaves; new calls are refused as not run.',
+    'cause',
+  ),
+  [EventCode.NODE_STOPPED]: describe(
+    'The node ended with no request in flight.',
+    'waitedMs: time from the announcement, ms',
+  ),
+  [EventCode.NODE_PAUSED]: describe(
+    'The process did not run for a while; what it had read is refused.',
+    'gapMs: length of the pause, ms',
+  ),
+  [EventCode.NODE_WARMED]: describe(
+    'The node ran its warm-up calls.',
+    'calls',
+    'elapsedMs: ms',
+  ),
+  [EventCode.SETTINGS_INVALID]: describe('A setting is wrong.', 'findings'),
+  [EventCode.REQUEST_ADMITTED]: describe(
+    'A call passed its checks and was offered to the gate.',
+    'caller',
+    'requestClass',
+    'attempt',
+    'timeoutMs: remaining time, ms',
+    'allowance: retries that the call may use',
+  ),
+  [EventCode.REQUEST_QUEUED]: describe(
+    'The call waits for a slot.',
+    'waiting: calls that wait',
+  ),
+  [EventCode.REQUEST_REFUSED]: describe(
+    'The call was answered without a response of the upstream.',
+    'outcome',
+    'reason',
+    'message',
+  ),
+  [EventCode.REQUEST_STARTED]: describe(
+    'The call was sent to the upstream.',
+    'waitedMs: time in the queue, ms',
+  ),
+  [EventCode.REQUEST_FINISHED]: describe(
+    'The complete response of the upstream was checked and sent.',
+    'status',
+    'elapsedMs: ms',
+    'retries: retries used below',
+  ),
+  [EventCode.REQUEST_JOINED]: describe(
+    'A resend waits for the execution that is under way.',
+    'attempt',
+  ),
+  [EventCode.REQUEST_REPLAYED]: describe(
+    'A resend was answered from the record of the earlier execution.',
+    'attempt',
+    'outcome',
+  ),
+  [EventCode.REQUEST_MALFORMED]: describe(
+    'A call failed its checks.',
+    'reason',
+    'message',
+  ),
+  [EventCode.CALL_ROUTED]: describe(
+    'The egress sent a call to a member.',
+    'service',
+    'member',
+    'attempt',
+  ),
+  [EventCode.CALL_RETRIED]: describe(
+    'The egress tries the call again.',
+    'service',
+    'delayMs: wait before the attempt, ms',
+    'allowance: retries left',
+  ),
+  [EventCode.CALL_COMPLETED]: describe(
+    'The egress passed a response on.',
+    'service',
+    'outcome',
+    'status',
+    'retries',
+    'elapsedMs: ms',
+  ),
+  [EventCode.CALL_REFUSED_EARLY]: describe(
+    'The egress refused a call that the target would refuse.',
+    'service',
+    'requestClass',
+  ),
+  [EventCode.RESPONSE_DROPPED]: describe(
+    'A late, duplicate, incomplete or foreign response was dropped.',
+    'cause',
+  ),
+  [EventCode.CONNECTION_REPLACED]: describe(
+    'A connection that went silent was replaced.',
+    'origin',
+  ),
+  [EventCode.LIMIT_CHANGED]: describe(
+    'The gate changed its concurrency limit by a tenth or more.',
+    'limit: requests',
+  ),
+  [EventCode.CLAIM_MADE]: describe(
+    'The row of an idempotency key is held by this node.',
+    'elapsedMs: ms',
+  ),
+  [EventCode.CLAIM_REFUSED]: describe(
+    'The idempotency key could not be claimed.',
+    'reason',
+    'outcome',
+  ),
+  [EventCode.CLAIM_RELEASED]: describe(
+    'A claim was given up because its request did not run.',
+    'attempt',
+  ),
+  [EventCode.CLAIM_RECOGNISED]: describe(
+    'A claim whose response was lost was recognised by its nonce.',
+  ),
+  [EventCode.MEMBER_JOINED]: describe(
+    'A member of the service was learned.',
+    'member',
+    'service',
+  ),
+  [EventCode.MEMBER_SUSPECT]: describe(
+    'A member did not answer probes; it gets no new work.',
+    'member',
+    'service',
+  ),
+  [EventCode.MEMBER_LEAVING]: describe(
+    'A member announced that it leaves; it gets no new work.',
+    'member',
+    'service',
+  ),
+  [EventCode.MEMBER_DEAD]: describe(
+    'A member was declared dead.',
+    'member',
+    'service',
+  ),
+  [EventCode.MEMBER_REFUTED]: describe(
+    'The node refuted a wrong report on itself.',
+    'counter',
+  ),
+  [EventCode.CONFIGURATION_ADOPTED]: describe(
+    'A newer configuration is in force.',
+    'version',
+    'source',
+  ),
+  [EventCode.CONFIGURATION_STALE_REFUSED]: describe(
+    'An older configuration was offered and refused.',
+    'version',
+    'offered',
+    'source',
+  ),
+  [EventCode.UPSTREAM_CRASHED]: describe(
+    'The upstream process ended while requests ran.',
+    'inFlight: requests',
+  ),
+  [EventCode.REQUEST_SUSPECTED]: describe(
+    'A request was in flight when an upstream crashed.',
+    'identity',
+    'crashes',
+  ),
+  [EventCode.PLATFORM_UNAVAILABLE]: describe(
+    "The platform's service stopped answering.",
+    'service',
+    'message',
+  ),
+  [EventCode.PLATFORM_AVAILABLE]: describe(
+    "The platform's service answers again.",
+    'service',
+  ),
+  [EventCode.MESSAGE_MALFORMED]: describe(
+    'Bytes on the control port are not a message.',
+    'message',
+  ),
+  [EventCode.INVARIANT_VIOLATED]: describe(
+    'An invariant of the design does not hold. Report it as a bug.',
+    'invariant',
+    'detail',
+  ),
+};
+
+/** Renders docs/events.md. */
+export function renderCatalogue(): string {
+  const rows = Object.entries(EVENT_CATALOGUE).map(([code, entry]) => {
+    const name = EventCode[Number(code)] ?? '';
+    const details = entry.details.join('; ') || '–';
+    return `| ${code} | ${name} | ${entry.meaning} | ${details} |`;
+  });
+  return [
+    '# Events',
+    '',
+    'Every process keeps its latest 10,000 events; the log has one JSON line for each. Events 1100 to 1399 belong to single requests and are logged at level debug. Each event has a time (hybrid logical time: wall-clock milliseconds and a counter), the process, the number and, where it belongs to one, the request id.',
+    '',
+    '| number | name | meaning | details |',
+    '|---|---|---|---|',
+    ...rows,
+    '',
+  ].join('\n');
+}
