--- /dev/null
+++ b/packages/sycamoreyoke/src/process/requestHome.ts
@@ -0,0 +1,52 @@
+/** Rendezvous hash of request identities over the members of a service. */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** FNV-1a hash of a string in 32 bits. */
+export function hashText(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  return hash >>> 0;
+}
+
+/** Mixes two hashes; the finalizer of MurmurHash3 spreads the bits. */
+function hashPair(memberHash: number, keyHash: number): number {
+  let mixed = memberHash ^ Math.imul(keyHash, 0x9e3779b1);
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
+/** A member with its hash, computed once for each membership. */
+export interface HashedMember {
+  readonly incarnation: string;
+  readonly hash: number;
+}
+
+/** Prepares a member for chooseHome. */
+export function buildHashedMember(incarnation: string): HashedMember {
+  return {incarnation, hash: hashText(incarnation)};
+}
+
+/** The member with the highest hash for a key; equal hashes by name. */
+export function chooseHome(
+  members: Iterable<HashedMember>,
+  key: string,
+): string | undefined {
+  const keyHash = hashText(key);
+  let best: HashedMember | undefined;
+  let bestWeight = -1;
+  for (const member of members) {
+    const weight = hashPair(member.hash, keyHash);
+    const isHigher =
+      weight > bestWeight ||
+      (weight === bestWeight && member.incarnation > (best?.incarnation ?? ''));
+    if (!isHigher) continue;
+    best = member;
+    bestWeight = weight;
+  }
+  return best?.incarnation;
+}
