--- a/packages/sycamoreyoke/src/request/constants.ts
+++ b/packages/sycamoreyoke/src/request/constants.ts
@@ -12,3 +12,5 @@
 export const MAX_BODY_BYTES = 8 * 1024 * 1024;
 /** Prefix of all headers of the project. */
 export const HEADER_PREFIX = 'sycamoreyoke-';
+/** Time kept back on each hop for the response to travel. */
+export const HOP_RESERVE_MS = 2;
