--- /dev/null
+++ b/packages/sycamoreyoke/src/process/crashRegister.test.ts
@@ -0,0 +1,138 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {VirtualClock} from '../clock.js';
+import {createRandom, takeInteger} from '../random.js';
+import {
+  CRASH_MEMORY_MS,
+  CRASH_REFUSAL_MS,
+  CrashRegister,
+  MAX_CRASHES,
+} from './crashRegister.js';
+
+const createIdentity = (requestId: string, caller = 'site') => ({
+  caller,
+  requestClass: 'track',
+  requestId,
+});
+const createIdentities = (ids: readonly (string | number)[]) =>
+  ids.map((id) => createIdentity(String(id)));
+
+// Guards against a verdict that differs from a model which keeps all crashes:
+// a culprit let through, a bystander refused, a refusal that does not end.
+it('crashes: verdicts equal those of a model that keeps every crash', () => {
+  const crash = fc.record({
+    waitMs: fc.integer({min: 0, max: CRASH_REFUSAL_MS / 2}),
+    ids: fc.uniqueArray(fc.integer({min: 0, max: 4}), {minLength: 1}),
+  });
+  fc.assert(
+    fc.property(fc.array(crash, {maxLength: 12}), (list) => {
+      const clock = new VirtualClock();
+      const register = new CrashRegister(clock);
+      const model: Array<{atMs: number; ids: number[]}> = [];
+      for (const {waitMs, ids} of list) {
+        clock.advance(waitMs);
+        const nowMs = clock.readMs();
+        register.recordCrash(`c${model.length}`, createIdentities(ids), 1);
+        model.push({atMs: nowMs, ids});
+        const kept = model.filter(({atMs}) => nowMs - atMs < CRASH_MEMORY_MS);
+        const find = (id: number) =>
+          kept.filter((each) => each.ids.includes(id));
+        const score = (id: number) =>
+          find(id).reduce((sum, each) => sum + 1 / each.ids.length, 0);
+        for (let id = 0; id <= 4; id += 1) {
+          const blamed = find(id).filter((each) =>
+            each.ids.every(
+              (other) =>
+                find(other).length < 2 || score(other) <= score(id) + 1e-9,
+            ),
+          );
+          const lastMs = Math.max(...blamed.map(({atMs}) => atMs));
+          const isRefused =
+            blamed.length >= 2 && nowMs - lastMs < CRASH_REFUSAL_MS;
+          const verdict = register.check(createIdentity(String(id)));
+          expect(verdict.isRefused, `request ${id}`).to.equal(isRefused);
+        }
+      }
+    }),
+    {seed: 41, numRuns: 2_000},
+  );
+});
+
+// Guards against suspects that do not reach every node of the service, are
+// counted more than once, or are sent for ever.
+it('crashes: suspects reach all nodes and the spreading ends', () => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const random = createRandom(seed);
+    const clock = new VirtualClock();
+    const nodes = Array.from({length: 16}, () => new CrashRegister(clock));
+    const sends = Math.ceil(3 * Math.log2(nodes.length + 1));
+    const take = () => nodes[takeInteger(random, nodes.length)];
+    take()?.recordCrash('c1', createIdentities(['x', 'a', 'b']), sends);
+    take()?.recordCrash('c2', createIdentities(['x', 'd']), sends);
+    for (let round = 0; round < 60; round += 1) {
+      for (const node of nodes) take()?.merge(node.takeSuspects(4), sends);
+      clock.advance(1_000);
+    }
+    for (const node of nodes) {
+      expect(node.countOutgoing()).to.equal(0);
+      expect(node.countCrashes()).to.equal(2);
+      expect(node.check(createIdentity('x')).isRefused).to.equal(true);
+      expect(node.check(createIdentity('a')).isRefused).to.equal(false);
+    }
+    clock.advance(CRASH_REFUSAL_MS);
+    for (const node of nodes) {
+      expect(node.check(createIdentity('x')).isRefused).to.equal(false);
+    }
+  }
+});
+
+// Guards against a caller that blocks the request of another caller by its ID.
+it('crashes: the same ID of another caller is not refused', () => {
+  const register = new CrashRegister(new VirtualClock());
+  register.recordCrash('c1', createIdentities(['x']), 1);
+  register.recordCrash('c2', createIdentities(['x']), 1);
+  expect(register.check(createIdentity('x')).isRefused).to.equal(true);
+  expect(register.check(createIdentity('x', 'app')).isRefused).to.equal(false);
+});
+
+// Guards against one crash that is heard twice and counted as two.
+it('crashes: a crash heard from several nodes counts once', () => {
+  const register = new CrashRegister(new VirtualClock());
+  const suspect = {identity: 'site/track/x', crashId: 'c1', inFlight: 1};
+  register.merge([suspect, suspect], 1);
+  register.merge([suspect], 1);
+  expect(register.check(createIdentity('x')).isRefused).to.equal(false);
+});
+
+// Guards against a bystander of one crash that is refused for another crash
+// which a request in three crashes explains.
+it('crashes: a more suspect request exonerates a bystander', () => {
+  const register = new CrashRegister(new VirtualClock());
+  register.recordCrash('c1', createIdentities(['x', 'y', 'z']), 1);
+  register.recordCrash('c2', createIdentities(['x', 'y', 'w']), 1);
+  expect(register.check(createIdentity('y')).isRefused).to.equal(true);
+  register.recordCrash('c3', createIdentities(['x']), 1);
+  expect(register.check(createIdentity('x')).isRefused).to.equal(true);
+  expect(register.check(createIdentity('y')).isRefused).to.equal(false);
+});
+
+// Guards against memory that grows with crashes or with malformed messages.
+it('crashes: memory is bounded and malformed suspects are dropped', () => {
+  const register = new CrashRegister(new VirtualClock());
+  for (let index = 0; index < 3 * MAX_CRASHES; index += 1) {
+    register.recordCrash(`c${index}`, createIdentities([index, 'x']), 1);
+  }
+  expect(register.countCrashes()).to.equal(MAX_CRASHES);
+  expect(register.countIdentities()).to.equal(MAX_CRASHES + 1);
+  const whole = {identity: 'site/track/q', crashId: 'm', inFlight: 1};
+  register.merge(
+    [
+      {...whole, inFlight: 0},
+      {...whole, inFlight: NaN},
+      {...whole, identity: 'q'.repeat(1_000)},
+      {...whole, crashId: ''},
+    ],
+    1,
+  );
+  expect(register.countIdentities()).to.equal(MAX_CRASHES + 1);
+});
