--- /dev/null
+++ b/packages/node/src/connection/exchange.ts
@@ -0,0 +1,155 @@
+/** One request and its response on a connection of the call path. */
+import type {Dispatcher} from 'undici';
+import {MAX_BODY_BYTES} from 'sycamoreyoke/request/constants';
+
+/** Headers of a response as they arrived. */
+export type ReceivedHeaders = Readonly<
+  Record<string, string | string[] | undefined>
+>;
+
+/** A request that is ready to be written. */
+export interface OutgoingCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+export enum ExchangeEnd {
+  /** The response arrived to its end. */
+  RESPONSE = 'response',
+  /** No byte of the request was written. */
+  NOT_SENT = 'not-sent',
+  /** The request may have arrived; there is no complete response. */
+  LOST = 'lost',
+}
+
+/** How an exchange ended. */
+export type ExchangeResult =
+  | {
+      readonly end: ExchangeEnd.RESPONSE;
+      readonly status: number;
+      readonly headers: ReceivedHeaders;
+      readonly body: Uint8Array;
+    }
+  | {
+      readonly end: ExchangeEnd.NOT_SENT | ExchangeEnd.LOST;
+      readonly message: string;
+      /** The other side refuses connections: its process is gone. */
+      readonly isRefused: boolean;
+    };
+
+/** An exchange under way. */
+export interface Exchange {
+  readonly result: Promise<ExchangeResult>;
+  /** Gives up; the connection is closed. */
+  cancel(message: string): void;
+  /** True once the request was handed to a connection. */
+  isSent(): boolean;
+}
+
+type Controller = Dispatcher.DispatchController;
+
+// The names of the handler's methods are those of the client library.
+/* eslint-disable house/verb-first */
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+  sent = false;
+  private controller: Controller | undefined;
+  private cancelled: Error | undefined;
+  private status = 0;
+  private headers: ReceivedHeaders = {};
+  private readonly chunks: Buffer[] = [];
+  private size = 0;
+
+  constructor(private readonly settle: (result: ExchangeResult) => void) {}
+
+  cancel(message: string): void {
+    this.cancelled = new Error(message);
+    this.controller?.abort(this.cancelled);
+    // A request that still waits for a connection has no controller yet; it is
+    // aborted as soon as it gets one.
+    if (!this.controller) this.finishFailed(this.cancelled);
+  }
+
+  /** Called right before the request is written to a connection. */
+  onRequestStart(controller: Controller): void {
+    if (this.cancelled) {
+      controller.abort(this.cancelled);
+      return;
+    }
+    this.controller = controller;
+    this.sent = true;
+  }
+
+  onResponseStart(
+    _controller: Controller,
+    status: number,
+    headers: ReceivedHeaders,
+  ): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  onResponseData(controller: Controller, chunk: Buffer): void {
+    this.size += chunk.length;
+    if (this.size > MAX_BODY_BYTES) {
+      controller.abort(new Error(`response exceeds ${MAX_BODY_BYTES} bytes`));
+      return;
+    }
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const [first] = this.chunks;
+    const body =
+      first && this.chunks.length === 1 ? first : Buffer.concat(this.chunks);
+    this.settle({
+      end: ExchangeEnd.RESPONSE,
+      status: this.status,
+      headers: this.headers,
+      body,
+    });
+  }
+
+  onResponseError(_controller: Controller, error: Error): void {
+    this.finishFailed(error);
+  }
+
+  private finishFailed(error: Error): void {
+    this.settle({
+      end: this.sent ? ExchangeEnd.LOST : ExchangeEnd.NOT_SENT,
+      message: error.message,
+      isRefused: (error as NodeJS.ErrnoException).code === 'ECONNREFUSED',
+    });
+  }
+}
+
+/* eslint-enable house/verb-first */
+
+/** Starts an exchange on a connection of the dispatcher. */
+export function startExchange(
+  dispatcher: Dispatcher,
+  call: OutgoingCall,
+): Exchange {
+  let settle: (result: ExchangeResult) => void = () => undefined;
+  const result = new Promise<ExchangeResult>((resolve) => {
+    settle = resolve;
+  });
+  const handler = new ExchangeHandler(settle);
+  dispatcher.dispatch(
+    {
+      method: call.method,
+      path: call.path,
+      headers: call.headers,
+      body: call.body.length > 0 ? call.body : null,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    },
+    handler,
+  );
+  return {
+    result,
+    cancel: (message) => handler.cancel(message),
+    isSent: () => handler.sent,
+  };
+}
--- a/packages/node/src/process/gateTask.ts
+++ b/packages/node/src/process/gateTask.ts
@@ -7,6 +7,7 @@
   GateAction,
 } from 'sycamoreyoke/process/types';
 import {GateActionKind} from 'sycamoreyoke/process/types';
+import {RefusalReason} from 'sycamoreyoke/types';
 
 /** Period of the gate's expiry check. */
 const TICK_MS = 20;
@@ -46,8 +47,18 @@
     this.apply(this.gate.finish(ticket, completion));
   }
 
+  /** Gives up a ticket that waits for its verdict. */
   cancel(ticket: string): void {
+    const resolve = this.waiting.get(ticket);
+    if (!resolve) return;
+    this.waiting.delete(ticket);
     this.apply(this.gate.cancel(ticket));
+    resolve({
+      kind: GateActionKind.REFUSE,
+      ticket,
+      reason: RefusalReason.CANCELLED,
+      retryAfterMs: 0,
+    });
   }
 
   readLevel(): AdmissionLevel {
--- /dev/null
+++ b/packages/node/src/process/nodeParts.ts
@@ -0,0 +1,54 @@
+import type {Clock} from 'sycamoreyoke/clock';
+import type {InvariantReporter} from 'sycamoreyoke/invariants';
+import type {LevelCache} from 'sycamoreyoke/process/admissionLevel';
+import type {CrashRegister} from 'sycamoreyoke/process/crashRegister';
+import type {EntryLedger} from 'sycamoreyoke/process/entryLedger';
+import type {EventRecorder} from 'sycamoreyoke/process/events';
+import type {HybridClock} from 'sycamoreyoke/process/hybridClock';
+import type {Metrics} from 'sycamoreyoke/process/metrics';
+
+import type {Member, Router} from 'sycamoreyoke/process/types';
+import type {Random} from 'sycamoreyoke/random';
+import type {CallConnections} from '../connection/callConnections.js';
+import type {TokenDigests} from '../request/callerCheck.js';
+import type {ConfigurationTask} from './configurationTask.js';
+import type {ExecutorTask} from './executorTask.js';
+import type {GateTask} from './gateTask.js';
+import type {Lifecycle} from './lifecycle.js';
+import type {LostExecutions} from './lostExecutions.js';
+import type {RetryBudgets} from './retryBudgets.js';
+import type {RunningRequests} from './runningRequests.js';
+import type {UpstreamMonitor} from './upstreamMonitor.js';
+
+/** The parts of the process that the handling of a request uses. */
+export interface NodeParts {
+  readonly service: string;
+  readonly incarnation: string;
+  readonly upstreamOrigin: string;
+  readonly clock: Clock;
+  readonly hybridClock: HybridClock;
+  readonly random: Random;
+  readonly record: EventRecorder;
+  readonly report: InvariantReporter;
+  readonly metrics: Metrics;
+  readonly lifecycle: Lifecycle;
+  readonly configuration: ConfigurationTask;
+  readonly tokenDigests: TokenDigests;
+  readonly entryLedger: EntryLedger;
+  readonly gate: GateTask;
+  readonly executor: ExecutorTask;
+  readonly running: RunningRequests;
+  readonly crashes: CrashRegister;
+  readonly lostExecutions: LostExecutions;
+  readonly monitor: UpstreamMonitor;
+  readonly connections: CallConnections;
+  readonly router: Router;
+  readonly levels: LevelCache;
+  readonly retryBudgets: RetryBudgets;
+  /** Keeps the members of a service up to date while it is called. */
+  readonly subscribe: (service: string) => void;
+  /** Tells the membership of evidence on a member of another service. */
+  readonly reportUnreachable: (member: Member, isRefused: boolean) => void;
+  /** A member refused work because it leaves. */
+  readonly reportLeaving: (member: Member) => void;
+}
--- /dev/null
+++ b/packages/node/src/process/retryBudgets.ts
@@ -0,0 +1,21 @@
+import type {Clock} from 'sycamoreyoke/clock';
+import {RetryBudget} from 'sycamoreyoke/process/retryBudget';
+
+/** The retry budgets of the services that this node calls. */
+export class RetryBudgets {
+  private readonly byService = new Map<
+    string,
+    {readonly share: number; readonly budget: RetryBudget}
+  >();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Budget of a service; a changed share starts a new one. */
+  find(service: string, share: number): RetryBudget {
+    const known = this.byService.get(service);
+    if (known?.share === share) return known.budget;
+    const budget = new RetryBudget(this.clock, share);
+    this.byService.set(service, {share, budget});
+    return budget;
+  }
+}
--- /dev/null
+++ b/packages/node/src/process/upstreamTask.ts
@@ -0,0 +1,50 @@
+/** Reacts to the upstream beside the node going away and coming back. */
+import type {CrashRegister} from 'sycamoreyoke/process/crashRegister';
+import type {EventRecorder} from 'sycamoreyoke/process/events';
+import {EventCode} from 'sycamoreyoke/process/events';
+import {formatIdentity} from 'sycamoreyoke/types';
+import type {LostExecutions} from './lostExecutions.js';
+import type {RunningRequests} from './runningRequests.js';
+
+/** What the task works on. */
+export interface UpstreamTaskParts {
+  readonly incarnation: string;
+  readonly crashes: CrashRegister;
+  readonly lost: LostExecutions;
+  readonly running: RunningRequests;
+  readonly record: EventRecorder;
+  /** How often each suspect is sent to other members. */
+  readonly computeSends: () => number;
+  readonly announceUp: (isUp: boolean) => void;
+}
+
+/** Counts the crashes of the upstream and tells the service of them. */
+export class UpstreamTask {
+  private crashCount = 0;
+
+  constructor(private readonly parts: UpstreamTaskParts) {}
+
+  /** Called when the upstream stops or begins to accept connections. */
+  handleChange(isUp: boolean): void {
+    if (!isUp) this.recordCrash();
+    this.parts.announceUp(isUp);
+  }
+
+  private recordCrash(): void {
+    const {parts} = this;
+    const running = parts.running.list().map(({identity}) => identity);
+    const inFlight = [...parts.lost.take(), ...running];
+    parts.record(EventCode.UPSTREAM_CRASHED, {inFlight: inFlight.length});
+    if (inFlight.length === 0) return;
+    this.crashCount += 1;
+    const crashId = `${parts.incarnation.slice(0, 32)}-${this.crashCount}`;
+    parts.crashes.recordCrash(crashId, inFlight, parts.computeSends());
+    for (const identity of inFlight) {
+      parts.record(
+        EventCode.REQUEST_SUSPECTED,
+        {identity: formatIdentity(identity), crashId},
+        identity.requestId,
+      );
+    }
+  }
+}
--- a/packages/node/src/request/callHandler.ts
+++ b/packages/node/src/request/callHandler.ts
@@ -1,135 +1,176 @@
-/** Gate side: a call from outside or from another node to the own upstream. */
-import {randomUUID} from 'node:crypto';
+/** Gate side: a call from outside or from another node. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {parseCallHeaders} from 'sycamoreyoke/request/headers';
-import type {CallHeaders, CallResponse} from 'sycamoreyoke/request/types';
-import {formatFinding} from 'sycamoreyoke/findings';
-import {Completion} from 'sycamoreyoke/process/types';
-import {Outcome, RefusalReason} from 'sycamoreyoke/types';
-import type {CompiledClass} from 'sycamoreyoke/version/compile';
-import type {CallConnections} from '../connection/callConnections.js';
-import type {ConfigurationTask} from '../process/configurationTask.js';
-import type {GateTask} from '../process/gateTask.js';
-import {forwardCall} from './forward.js';
-import {
-  RefusedRequest,
-  getRefusalStatus,
-  readBody,
-  sendRefusal,
-  sendResponse,
-} from './exchange.js';
+import {formatLevel} from 'sycamoreyoke/process/admissionLevel';
+import {EventCode} from 'sycamoreyoke/process/events';
+import type {SendAnswer} from 'sycamoreyoke/request/outcome';
+import type {CallHeaders} from 'sycamoreyoke/request/types';
+import {Outcome, RefusalReason, RepeatGuard} from 'sycamoreyoke/types';
+import type {NodeParts} from '../process/nodeParts.js';
+import {deliverCall} from './egressCall.js';
+import {sendAnswer} from './httpExchange.js';
+import {readHeaders, readIncomingCall} from './incomingCall.js';
+import {RefusedRequest, createRefusal} from './refusal.js';
+import type {CallOrigin, IncomingCall} from './types.js';
+import type {UpstreamRun} from './upstreamRun.js';
+import {createNotRun, runOnUpstream} from './upstreamRun.js';
 
-/** What the handler needs of the process. */
-export interface CallHandlerParts {
-  readonly gate: GateTask;
-  readonly configuration: ConfigurationTask;
-  readonly connections: CallConnections;
-  readonly upstream: string;
+/** The end of a call, with the retries that were used to serve it. */
+interface CallEnd {
+  readonly answer: SendAnswer;
+  readonly retries: number;
+  readonly message: string;
+  readonly retryAfterMs?: number;
 }
 
-interface Call {
-  readonly requestId: string;
-  readonly headers: CallHeaders;
-  readonly compiledClass: CompiledClass;
-  readonly deadline: number;
-  readonly body: Uint8Array;
-}
-
-/** Takes a call from its first byte to its response. */
+/** Takes a call from its first byte to the end of its answer. */
 export async function handleCall(
-  parts: CallHandlerParts,
+  parts: NodeParts,
+  origin: CallOrigin,
   request: IncomingMessage,
   exchange: ServerResponse,
 ): Promise<void> {
+  const startMs = parts.clock.readMs();
   let requestId = 'none';
+  let end: CallEnd;
+  parts.lifecycle.start();
   try {
     const headers = readHeaders(request);
-    requestId = headers.requestId ?? randomUUID();
-    const call = await readCall(parts, request, headers, requestId);
-    const response = await runCall(parts, request, call);
-    sendResponse(exchange, response, {
-      outcome: Outcome.DONE,
-      requestId,
-      retries: 0,
-    });
+    requestId = headers.requestId ?? requestId;
+    observeTime(parts, headers);
+    const call = await readIncomingCall(parts, origin, request, headers);
+    requestId = call.requestId;
+    recordAdmitted(parts, call);
+    end = await serveCall(parts, call, exchange);
   } catch (error) {
-    if (!(error instanceof RefusedRequest)) throw error;
-    sendRefusal(exchange, requestId, error);
+    end = createRefusedEnd(error);
+  } finally {
+    parts.lifecycle.finish();
   }
+  recordEnd(parts, requestId, end, parts.clock.readMs() - startMs);
+  const level = formatLevel(parts.gate.readLevel());
+  const time = parts.hybridClock.read();
+  const {retries, retryAfterMs} = end;
+  const added = {
+    requestId,
+    retries,
+    level,
+    time,
+    ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+  };
+  sendAnswer(exchange, end.answer, added, end.message);
 }
 
-function readHeaders(request: IncomingMessage): CallHeaders {
-  const result = parseCallHeaders(request.headers);
-  if (result.headers) return result.headers;
-  throw createRefusal(
-    RefusalReason.MALFORMED,
-    result.findings.map(formatFinding).join('; '),
-  );
+/** Runs a call on the own upstream, or passes it on to its service. */
+async function serveCall(
+  parts: NodeParts,
+  call: IncomingCall,
+  exchange: ServerResponse,
+): Promise<CallEnd> {
+  if (call.compiledClass.definition.service !== parts.service) {
+    const delivered = await deliverCall(parts, {
+      ...call,
+      allowance: call.grant.allowance,
+    });
+    parts.entryLedger.finish(call.grant, delivered.retries);
+    return {...delivered, message: 'passed on by a node of another service'};
+  }
+  checkMayServe(parts, call);
+  let run: UpstreamRun | undefined;
+  const execute = async (mayDispatch: () => boolean) => {
+    const refusal = parts.lifecycle.getRefusal();
+    if (refusal !== undefined) return createNotRun(refusal);
+    run = await runOnUpstream(parts, call, exchange, mayDispatch);
+    return run;
+  };
+  const answer = await runGuarded(parts, call, execute);
+  const {retries = 0, retryAfterMs} = run ?? {};
+  parts.entryLedger.finish(call.grant, retries);
+  return {
+    answer,
+    retries,
+    message: answer.reason ?? '',
+    ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+  };
 }
 
-async function readCall(
-  parts: CallHandlerParts,
-  request: IncomingMessage,
-  headers: CallHeaders,
-  requestId: string,
-): Promise<Call> {
-  const configuration = parts.configuration.get();
-  const compiledClass = configuration.classes.get(headers.requestClass);
-  if (!compiledClass) {
+/** Throws when the node takes no new work, or none of this request. */
+function checkMayServe(parts: NodeParts, call: IncomingCall): void {
+  const refusal = parts.lifecycle.getRefusal();
+  if (refusal !== undefined && !isResend(call)) {
+    throw createRefusal(refusal, `the node is ${parts.lifecycle.get()}`);
+  }
+  const verdict = parts.crashes.check(call.identity);
+  if (verdict.isRefused) {
     throw createRefusal(
-      RefusalReason.MALFORMED,
-      `request class "${headers.requestClass}" is not configured`,
+      RefusalReason.CRASHING,
+      'the request was in flight at two crashes of an upstream',
     );
   }
-  const timeoutMs = Math.min(
-    headers.timeoutMs ?? compiledClass.definition.timeoutMs,
-    compiledClass.definition.timeoutMs,
+}
+
+/** A resend of a guarded request may only ask for its recorded answer. */
+function isResend(call: IncomingCall): boolean {
+  return (
+    call.headers.attempt > 0 &&
+    call.compiledClass.definition.guard !== RepeatGuard.NONE
   );
-  const deadline = parts.gate.clock.readMs() + timeoutMs;
-  const body = await readBody(request);
-  return {requestId, headers, compiledClass, deadline, body};
 }
 
-async function runCall(
-  parts: CallHandlerParts,
-  request: IncomingMessage,
-  call: Call,
-): Promise<CallResponse> {
-  const ticket = randomUUID();
-  const refusal = await parts.gate.admit({
-    ticket,
-    importance: call.compiledClass.importance,
-    deadline: call.deadline,
-  });
-  if (refusal) {
-    throw createRefusal(refusal.reason, 'refused by the gate');
+type Execute = Parameters<NodeParts['executor']['runClaimed']>[1];
+
+function runGuarded(
+  parts: NodeParts,
+  call: IncomingCall,
+  execute: Execute,
+): Promise<SendAnswer> {
+  const {identity, deadline, headers} = call;
+  const send = {identity, deadline, attempt: headers.attempt};
+  const {guard} = call.compiledClass.definition;
+  if (guard === RepeatGuard.PIN && headers.pin) {
+    return parts.executor.runPinned(send, headers.pin, execute);
   }
-  let completion = Completion.FAILED;
-  try {
-    const response = await forwardCall(parts.connections, {
-      origin: parts.upstream,
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      headers: request.headers,
-      added: {
-        'sycamoreyoke-request-id': call.requestId,
-        'sycamoreyoke-class': call.headers.requestClass,
-      },
-      body: call.body,
-      timeoutMs: call.deadline - parts.gate.clock.readMs(),
-    });
-    completion = Completion.SUCCEEDED;
-    return response;
-  } finally {
-    parts.gate.finish(ticket, completion);
+  if (guard === RepeatGuard.CLAIM) {
+    return parts.executor.runClaimed(send, execute);
   }
+  return execute(() => true).then(({answer}) => answer);
 }
 
-function createRefusal(reason: RefusalReason, message: string): RefusedRequest {
-  return new RefusedRequest(
-    getRefusalStatus(reason),
-    Outcome.NOT_RUN,
-    reason,
-    message,
-  );
+function observeTime(parts: NodeParts, headers: CallHeaders): void {
+  if (headers.time) parts.hybridClock.observe(headers.time);
+}
+
+function createRefusedEnd(error: unknown): CallEnd {
+  if (!(error instanceof RefusedRequest)) throw error;
+  return {answer: error.answer, retries: 0, message: error.message};
+}
+
+function recordAdmitted(parts: NodeParts, call: IncomingCall): void {
+  const details = {
+    caller: call.identity.caller,
+    requestClass: call.identity.requestClass,
+    attempt: call.headers.attempt,
+    timeoutMs: Math.round(call.deadline - parts.clock.readMs()),
+    allowance: call.grant.allowance,
+  };
+  parts.record(EventCode.REQUEST_ADMITTED, details, call.requestId);
+}
+
+function recordEnd(
+  parts: NodeParts,
+  requestId: string,
+  {answer, retries, message}: CallEnd,
+  elapsedMs: number,
+): void {
+  const {outcome, reason = '', response} = answer;
+  parts.metrics.count('sycamoreyoke_calls_total', {outcome, reason});
+  if (outcome === Outcome.DONE) {
+    parts.metrics.observe('sycamoreyoke_call_seconds', elapsedMs);
+  }
+  if (response) {
+    const details = {status: response.status, elapsedMs, retries};
+    parts.record(EventCode.REQUEST_FINISHED, details, requestId);
+  } else {
+    const details = {outcome, reason, message};
+    parts.record(EventCode.REQUEST_REFUSED, details, requestId);
+  }
 }
--- /dev/null
+++ b/packages/node/src/request/callerCheck.ts
@@ -0,0 +1,51 @@
+/** Checks who calls and what the caller may call. */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {CallHeaders} from 'sycamoreyoke/request/types';
+import {RefusalReason} from 'sycamoreyoke/types';
+import type {CompiledConfiguration} from 'sycamoreyoke/version/compile';
+import type {CallerObject} from 'sycamoreyoke/version/types';
+import {createRefusal} from './refusal.js';
+
+/** Digests of tokens that were seen, since hashing each call costs time. */
+export class TokenDigests {
+  private readonly digests = new Map<string, Buffer>();
+
+  constructor(private readonly capacity = 10_000) {}
+
+  compute(token: string): Buffer {
+    const known = this.digests.get(token);
+    if (known) return known;
+    if (this.digests.size >= this.capacity) this.digests.clear();
+    const digest = createHash('sha256').update(token).digest();
+    this.digests.set(token, digest);
+    return digest;
+  }
+}
+
+/** The authenticated caller; throws when it may not call the class. */
+export function checkCaller(
+  configuration: CompiledConfiguration,
+  headers: CallHeaders,
+  digests: TokenDigests,
+): CallerObject {
+  const caller = configuration.callers.get(headers.caller ?? '');
+  const expected = Buffer.from(caller?.tokenSha256 ?? '', 'hex');
+  const given = digests.compute(headers.token ?? '');
+  if (
+    !caller ||
+    expected.length !== given.length ||
+    !timingSafeEqual(expected, given)
+  ) {
+    throw createRefusal(
+      RefusalReason.UNAUTHENTICATED,
+      `caller "${headers.caller ?? ''}" is unknown or its token is wrong`,
+    );
+  }
+  if (!caller.classes.includes(headers.requestClass)) {
+    throw createRefusal(
+      RefusalReason.FORBIDDEN,
+      `caller "${caller.name}" may not call class "${headers.requestClass}"`,
+    );
+  }
+  return caller;
+}
--- /dev/null
+++ b/packages/node/src/request/egressCall.ts
@@ -0,0 +1,375 @@
+/** Delivers a call to a member of its service, with retries. */
+import {setTimeout as wait} from 'node:timers/promises';
+import {formatFinding} from 'sycamoreyoke/findings';
+import {parseLevel} from 'sycamoreyoke/process/admissionLevel';
+import {EventCode} from 'sycamoreyoke/process/events';
+import type {Member} from 'sycamoreyoke/process/types';
+import type {Reservation} from 'sycamoreyoke/request/allowance';
+import {RetryLedger} from 'sycamoreyoke/request/allowance';
+import {formatCallHeaders, parseTime} from 'sycamoreyoke/request/headers';
+import type {SendAnswer, SentAttempt} from 'sycamoreyoke/request/outcome';
+import {
+  SendPhase,
+  createRefusalAnswer,
+  mergeOutcomes,
+} from 'sycamoreyoke/request/outcome';
+import {checkResponse} from 'sycamoreyoke/request/responseCheck';
+import {decideRetry} from 'sycamoreyoke/request/retry';
+import type {CallHeaders} from 'sycamoreyoke/request/types';
+import type {Importance, RequestIdentity} from 'sycamoreyoke/types';
+import {Outcome, RefusalReason, RepeatGuard} from 'sycamoreyoke/types';
+import type {CompiledClass} from 'sycamoreyoke/version/compile';
+import type {ExchangeResult, ReceivedHeaders} from '../connection/exchange.js';
+import {ExchangeEnd, startExchange} from '../connection/exchange.js';
+import type {NodeParts} from '../process/nodeParts.js';
+import {collectResponseHeaders} from './httpExchange.js';
+import {readChecks} from './upstreamRun.js';
+
+/** A call on its way to another service. */
+export interface OutgoingRequest {
+  readonly requestId: string;
+  readonly identity: RequestIdentity;
+  readonly rootId: string;
+  readonly headers: CallHeaders;
+  readonly compiledClass: CompiledClass;
+  readonly importance: Importance;
+  /** On the clock of the node, in milliseconds. */
+  readonly deadline: number;
+  readonly allowance: number;
+  readonly method: string;
+  readonly path: string;
+  readonly passedHeaders: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+/** The end of a delivery. */
+export interface Delivery {
+  readonly answer: SendAnswer;
+  /** Retries used for the call, here and below. */
+  readonly retries: number;
+}
+
+/** One attempt, as the retry decision needs it. */
+interface AttemptEnd {
+  readonly answer: SendAnswer;
+  readonly retryAfterMs?: number;
+}
+
+/** Sends the call until it is done, must not be repeated or has no time. */
+export async function deliverCall(
+  parts: NodeParts,
+  call: OutgoingRequest,
+): Promise<Delivery> {
+  const startMs = parts.clock.readMs();
+  const ledger = new RetryLedger(call.allowance, parts.report);
+  const tried = new Set<string>();
+  const sends: SentAttempt[] = [];
+  parts.subscribe(call.compiledClass.definition.service);
+  findBudget(parts, call).recordFirst();
+  for (let attempt = 0; ; attempt += 1) {
+    const end = await sendAttempt(parts, call, ledger, tried, attempt);
+    sends.push({attempt, answer: end.answer});
+    const delayMs = decideDelay(parts, call, ledger, end, attempt);
+    if (delayMs === undefined) break;
+    recordRetry(parts, call, delayMs, ledger.readFree());
+    await wait(delayMs);
+  }
+  const answer = mergeOutcomes(sends);
+  const delivery = {answer, retries: ledger.close()};
+  recordDelivery(parts, call, delivery, parts.clock.readMs() - startMs);
+  return delivery;
+}
+
+function findBudget(parts: NodeParts, {compiledClass}: OutgoingRequest) {
+  const {definition, retryLimit} = compiledClass;
+  return parts.retryBudgets.find(definition.service, retryLimit.shareOfTraffic);
+}
+
+/** Wait before the next attempt; undefined when there is none. */
+function decideDelay(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  ledger: RetryLedger,
+  {answer, retryAfterMs}: AttemptEnd,
+  attempt: number,
+): number | undefined {
+  const {definition, retryLimit} = call.compiledClass;
+  // Attempts of a guarded request are numbered and sent by its caller.
+  if (definition.guard !== RepeatGuard.NONE) return undefined;
+  const decision = decideRetry(
+    {
+      outcome: answer.outcome,
+      isIdempotent: definition.idempotent,
+      attempt,
+      allowance: ledger.readFree(),
+      nowMs: parts.clock.readMs(),
+      deadline: call.deadline,
+      serviceMs: 1,
+      ...(answer.reason === undefined ? {} : {reason: answer.reason}),
+      ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+    },
+    {baseMs: retryLimit.backoffBaseMs, maxMs: retryLimit.backoffMaxMs},
+    parts.random,
+  );
+  if (!decision.isRetried) return undefined;
+  // The budget first: a retry that it refuses must not use up the ledger.
+  if (!findBudget(parts, call).takeRetry()) return undefined;
+  return ledger.takeRetry() ? decision.delayMs : undefined;
+}
+
+async function sendAttempt(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  ledger: RetryLedger,
+  tried: Set<string>,
+  attempt: number,
+): Promise<AttemptEnd> {
+  const member = chooseMember(parts, call, tried);
+  if (!('incarnation' in member)) return {answer: member};
+  tried.add(member.incarnation);
+  const share = ledger.reserveAttempt();
+  const startMs = parts.clock.readMs();
+  recordRouted(parts, call, member, attempt);
+  parts.router.start(member.incarnation);
+  const result = await exchangeWith(parts, call, member, share);
+  const end = decideEnd(parts, call, member, result, ledger, share);
+  parts.router.finish(
+    member.incarnation,
+    parts.clock.readMs() - startMs,
+    end.answer.outcome !== Outcome.DONE,
+  );
+  return end;
+}
+
+/** The member to send to, or the answer when there is none. */
+function chooseMember(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  tried: ReadonlySet<string>,
+): Member | SendAnswer {
+  const {service} = call.compiledClass.definition;
+  const {pin} = call.headers;
+  if (pin) {
+    const pinned = parts.router
+      .list(service)
+      .find(({incarnation}) => incarnation === pin.incarnation);
+    return pinned ?? createRefusalAnswer(RefusalReason.WRONG_INCARNATION);
+  }
+  const isAdmitted = ({incarnation}: Member) =>
+    parts.levels.isAdmitted(incarnation, call.importance);
+  const admitting = parts.router.choose(service, tried, isAdmitted);
+  if (admitting) return admitting;
+  const refusing = parts.router.choose(service, tried);
+  if (refusing && parts.levels.isProbe()) return refusing;
+  if (refusing) {
+    recordRefusedEarly(parts, call);
+    return createRefusalAnswer(RefusalReason.OVERLOADED);
+  }
+  // All were tried: any of them may have room again.
+  const again = tried.size > 0 && parts.router.choose(service, new Set());
+  return again || createRefusalAnswer(RefusalReason.NO_MEMBER);
+}
+
+async function exchangeWith(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  member: Member,
+  share: Reservation,
+): Promise<ExchangeResult> {
+  const {definition} = call.compiledClass;
+  const isRepeatable = definition.guard === RepeatGuard.NONE;
+  const remainingMs = Math.floor(call.deadline - parts.clock.readMs());
+  const exchange = startExchange(
+    parts.connections.find(formatPeerOrigin(member), isRepeatable),
+    {
+      method: call.method,
+      path: call.path,
+      headers: {
+        ...call.passedHeaders,
+        ...formatCallHeaders(buildHeaders(parts, call, share, remainingMs)),
+      },
+      body: call.body,
+    },
+  );
+  const timer = setTimeout(
+    () => exchange.cancel('the deadline passed'),
+    Math.max(0, remainingMs),
+  );
+  const result = await exchange.result;
+  clearTimeout(timer);
+  return result;
+}
+
+/** Origin of the peer port of a member. */
+export function formatPeerOrigin(member: Member): string {
+  return `http://${member.address}:${member.peerPort}`;
+}
+
+function buildHeaders(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  share: Reservation,
+  remainingMs: number,
+): CallHeaders {
+  const {pin, idempotencyKey, attempt} = call.headers;
+  return {
+    requestClass: call.identity.requestClass,
+    requestId: call.requestId,
+    attempt,
+    timeoutMs: Math.max(1, remainingMs),
+    allowance: share.granted,
+    rootId: call.rootId,
+    importance: call.importance,
+    time: parts.hybridClock.read(),
+    ...(pin === undefined ? {} : {pin}),
+    ...(idempotencyKey === undefined ? {} : {idempotencyKey}),
+  };
+}
+
+function decideEnd(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  member: Member,
+  result: ExchangeResult,
+  ledger: RetryLedger,
+  share: Reservation,
+): AttemptEnd {
+  if (result.end === ExchangeEnd.RESPONSE) {
+    return decideResponse(parts, call, member, result, ledger, share);
+  }
+  const isSent = result.end === ExchangeEnd.LOST;
+  if (isSent) ledger.recordLost(share);
+  else ledger.finishCall(share, 0);
+  const isLate = parts.clock.readMs() >= call.deadline;
+  if (!isLate) parts.reportUnreachable(member, result.isRefused);
+  const reason = isLate
+    ? RefusalReason.DEADLINE
+    : RefusalReason.CONNECTION_LOST;
+  const phase = isSent ? SendPhase.AFTER_DISPATCH : SendPhase.BEFORE_DISPATCH;
+  return {answer: createRefusalAnswer(reason, phase)};
+}
+
+function decideResponse(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  member: Member,
+  result: Extract<ExchangeResult, {end: ExchangeEnd.RESPONSE}>,
+  ledger: RetryLedger,
+  share: Reservation,
+): AttemptEnd {
+  const {status, headers, body} = result;
+  observeGate(parts, member, headers);
+  const findings = checkResponse({
+    requestId: call.requestId,
+    isEnded: true,
+    body,
+    ...readChecks(headers),
+  });
+  if (findings.length > 0) {
+    ledger.recordLost(share);
+    const cause = findings.map(formatFinding).join('; ');
+    parts.record(EventCode.RESPONSE_DROPPED, {cause}, call.requestId);
+    const phase = SendPhase.AFTER_DISPATCH;
+    return {answer: createRefusalAnswer(RefusalReason.BAD_RESPONSE, phase)};
+  }
+  ledger.finishCall(share, readNumber(headers, 'sycamoreyoke-retries') ?? 0);
+  const outcome = readOutcome(headers);
+  if (outcome === Outcome.DONE) {
+    const response = {status, headers: collectResponseHeaders(headers), body};
+    return {answer: {outcome, response}};
+  }
+  const reason = readReason(headers);
+  if (reason === RefusalReason.LEAVING) parts.reportLeaving(member);
+  const nextAttempt = readNumber(headers, 'sycamoreyoke-next-attempt');
+  const retryAfterMs = readNumber(headers, 'sycamoreyoke-retry-after-ms');
+  return {
+    ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+    answer: {
+      outcome,
+      reason,
+      ...(nextAttempt === undefined ? {} : {nextAttempt}),
+    },
+  };
+}
+
+/** Takes note of what a gate says of itself. */
+function observeGate(
+  parts: NodeParts,
+  member: Member,
+  headers: ReceivedHeaders,
+): void {
+  const level = parseLevel(String(headers['sycamoreyoke-level'] ?? ''));
+  if (level) parts.levels.observe(member.incarnation, level);
+  const time = parseTime(String(headers['sycamoreyoke-time'] ?? ''));
+  if (time) parts.hybridClock.observe(time);
+}
+
+/** A response without an outcome is not one of a node. */
+function readOutcome(headers: ReceivedHeaders): Outcome {
+  const value = headers['sycamoreyoke-outcome'];
+  return (
+    Object.values(Outcome).find((outcome) => outcome === value) ??
+    Outcome.UNKNOWN
+  );
+}
+
+function readReason(headers: ReceivedHeaders): RefusalReason {
+  const value = headers['sycamoreyoke-reason'];
+  return (
+    Object.values(RefusalReason).find((reason) => reason === value) ??
+    RefusalReason.BAD_RESPONSE
+  );
+}
+
+function readNumber(
+  headers: ReceivedHeaders,
+  name: string,
+): number | undefined {
+  const value = headers[name];
+  return typeof value === 'string' && /^\d{1,9}$/.test(value)
+    ? Number(value)
+    : undefined;
+}
+
+function recordRouted(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  member: Member,
+  attempt: number,
+): void {
+  const {service} = call.compiledClass.definition;
+  const details = {service, member: member.incarnation, attempt};
+  parts.record(EventCode.CALL_ROUTED, details, call.requestId);
+}
+
+function recordRetry(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  delayMs: number,
+  allowance: number,
+): void {
+  const {service} = call.compiledClass.definition;
+  parts.metrics.count('sycamoreyoke_retries_total', {service});
+  const details = {service, delayMs, allowance};
+  parts.record(EventCode.CALL_RETRIED, details, call.requestId);
+}
+
+function recordRefusedEarly(parts: NodeParts, call: OutgoingRequest): void {
+  const {service} = call.compiledClass.definition;
+  parts.metrics.count('sycamoreyoke_refused_early_total', {service});
+  const details = {service, requestClass: call.identity.requestClass};
+  parts.record(EventCode.CALL_REFUSED_EARLY, details, call.requestId);
+}
+
+function recordDelivery(
+  parts: NodeParts,
+  call: OutgoingRequest,
+  {answer, retries}: Delivery,
+  elapsedMs: number,
+): void {
+  const {service} = call.compiledClass.definition;
+  const {outcome} = answer;
+  const status = answer.response?.status ?? 0;
+  const details = {service, outcome, status, retries, elapsedMs};
+  parts.record(EventCode.CALL_COMPLETED, details, call.requestId);
+}
--- a/packages/node/src/request/egressHandler.ts
+++ b/packages/node/src/request/egressHandler.ts
@@ -1,113 +1,111 @@
-/** Egress side: a call of the own upstream to a node of another service. */
+/** Egress side: a call that the upstream beside the node makes. */
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {formatFinding} from 'sycamoreyoke/findings';
-import type {Member, Router} from 'sycamoreyoke/process/types';
+import type {RetryLedger} from 'sycamoreyoke/request/allowance';
+import {RefusalReason} from 'sycamoreyoke/types';
+import type {NodeParts} from '../process/nodeParts.js';
+import type {RunningRequest} from '../process/runningRequests.js';
+import type {Delivery, OutgoingRequest} from './egressCall.js';
+import {deliverCall} from './egressCall.js';
 import {
-  formatCallHeaders,
-  parseCallHeaders,
-} from 'sycamoreyoke/request/headers';
-import type {CallHeaders, CallResponse} from 'sycamoreyoke/request/types';
-import {Outcome, RefusalReason} from 'sycamoreyoke/types';
-import type {CallConnections} from '../connection/callConnections.js';
-import type {ConfigurationTask} from '../process/configurationTask.js';
-import {forwardCall} from './forward.js';
-import {
-  RefusedRequest,
-  getRefusalStatus,
+  checkBodyDigest,
+  collectRequestHeaders,
   readBody,
-  sendRefusal,
-  sendResponse,
-} from './exchange.js';
-
-/** What the handler needs of the process. */
-export interface EgressHandlerParts {
-  readonly router: Router;
-  readonly configuration: ConfigurationTask;
-  readonly connections: CallConnections;
-}
+  sendAnswer,
+} from './httpExchange.js';
+import {checkGuardHeaders, findClass, readHeaders} from './incomingCall.js';
+import {RefusedRequest, createRefusal} from './refusal.js';
 
-/** Takes an outgoing call to a member of the target service. */
+/** Takes a call of the own upstream from its first byte to its answer. */
 export async function handleEgress(
-  parts: EgressHandlerParts,
+  parts: NodeParts,
   request: IncomingMessage,
   exchange: ServerResponse,
 ): Promise<void> {
   let requestId = 'none';
+  let message = '';
+  let delivery: Delivery;
+  parts.lifecycle.start();
   try {
-    const headers = readHeaders(request);
-    requestId = headers.requestId ?? randomUUID();
-    const body = await readBody(request);
-    const response = await sendCall(
-      parts,
-      request,
-      {
-        ...headers,
-        requestId,
-      },
-      body,
-    );
-    sendResponse(exchange, response, {
-      outcome: Outcome.DONE,
-      requestId,
-      retries: 0,
-    });
+    const call = await readOutgoingCall(parts, request);
+    requestId = call.requestId;
+    delivery = await deliverWithin(parts, call);
   } catch (error) {
     if (!(error instanceof RefusedRequest)) throw error;
-    sendRefusal(exchange, requestId, error);
+    delivery = {answer: error.answer, retries: 0};
+    ({message} = error);
+  } finally {
+    parts.lifecycle.finish();
   }
+  const {answer, retries} = delivery;
+  sendAnswer(exchange, answer, {requestId, retries}, message);
 }
 
-function readHeaders(request: IncomingMessage): CallHeaders {
-  const result = parseCallHeaders(request.headers);
-  if (result.headers) return result.headers;
-  throw createRefusal(
-    RefusalReason.MALFORMED,
-    result.findings.map(formatFinding).join('; '),
-  );
+/** A call, with the request that the upstream makes it for. */
+interface LocalCall extends OutgoingRequest {
+  readonly parent?: RunningRequest;
 }
 
-async function sendCall(
-  parts: EgressHandlerParts,
+async function readOutgoingCall(
+  parts: NodeParts,
   request: IncomingMessage,
-  headers: CallHeaders,
-  body: Uint8Array,
-): Promise<CallResponse> {
-  const definition = parts.configuration
-    .get()
-    .classes.get(headers.requestClass)?.definition;
-  if (!definition) {
-    throw createRefusal(
-      RefusalReason.MALFORMED,
-      `request class "${headers.requestClass}" is not configured`,
-    );
-  }
-  const member = chooseMember(parts, definition.service);
-  return forwardCall(parts.connections, {
-    origin: `http://${member.address}:${member.peerPort}`,
+): Promise<LocalCall> {
+  const headers = readHeaders(request);
+  const compiledClass = findClass(parts, headers);
+  checkGuardHeaders(headers, compiledClass);
+  const parent = findParent(parts, headers.parentId);
+  const requestId = headers.requestId ?? randomUUID();
+  const caller = parent?.identity.caller ?? parts.service;
+  const {definition, importance} = compiledClass;
+  const timeoutMs = Math.min(
+    headers.timeoutMs ?? definition.timeoutMs,
+    definition.timeoutMs,
+  );
+  const ownDeadline = parts.clock.readMs() + timeoutMs;
+  const body = await readBody(request);
+  checkBodyDigest(body, headers.contentDigest);
+  return {
+    requestId,
+    identity: {caller, requestClass: definition.name, requestId},
+    rootId: parent?.rootId ?? `${caller}/${requestId}`,
+    headers,
+    compiledClass,
+    importance: Math.max(importance, parent?.importance ?? importance),
+    deadline: Math.min(ownDeadline, parent?.deadline ?? ownDeadline),
+    allowance: headers.allowance ?? 0,
     method: request.method ?? 'GET',
     path: request.url ?? '/',
-    headers: request.headers,
-    added: formatCallHeaders(headers),
+    passedHeaders: collectRequestHeaders(request.headers),
     body,
-    timeoutMs: headers.timeoutMs ?? definition.timeoutMs,
-  });
+    ...(parent === undefined ? {} : {parent}),
+  };
 }
 
-function chooseMember(parts: EgressHandlerParts, service: string): Member {
-  const member = parts.router.choose(service, new Set());
-  if (member) return member;
+function findParent(
+  parts: NodeParts,
+  parentId: string | undefined,
+): RunningRequest | undefined {
+  if (parentId === undefined) return undefined;
+  const parent = parts.running.get(parentId);
+  if (parent) return parent;
   throw createRefusal(
-    RefusalReason.NO_MEMBER,
-    `no member of service "${service}" is known`,
+    RefusalReason.CANCELLED,
+    `execution "${parentId}" does not run any more`,
   );
 }
 
-function createRefusal(reason: RefusalReason, message: string): RefusedRequest {
-  return new RefusedRequest(
-    getRefusalStatus(reason),
-    Outcome.NOT_RUN,
-    reason,
-    message,
-  );
+/** Uses a part of the ledger of the request that the call is made for. */
+async function deliverWithin(
+  parts: NodeParts,
+  call: LocalCall,
+): Promise<Delivery> {
+  const ledger: RetryLedger | undefined = call.parent?.ledger;
+  if (!ledger) return deliverCall(parts, call);
+  const share = ledger.reserveCall();
+  const delivery = await deliverCall(parts, {
+    ...call,
+    allowance: share.granted,
+  });
+  ledger.finishCall(share, delivery.retries);
+  return delivery;
 }
--- /dev/null
+++ b/packages/node/src/request/incomingCall.ts
@@ -0,0 +1,171 @@
+/** Reads and checks a call before anything is decided on it. */
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage} from 'node:http';
+import {formatFinding} from 'sycamoreyoke/findings';
+import type {EntryGrant} from 'sycamoreyoke/process/entryLedger';
+import {MAX_REQUEST_ID_LENGTH} from 'sycamoreyoke/request/constants';
+import {parseCallHeaders} from 'sycamoreyoke/request/headers';
+import type {CallHeaders} from 'sycamoreyoke/request/types';
+import type {Importance, RequestIdentity} from 'sycamoreyoke/types';
+import {RefusalReason, RepeatGuard} from 'sycamoreyoke/types';
+import type {CompiledClass} from 'sycamoreyoke/version/compile';
+import type {NodeParts} from '../process/nodeParts.js';
+import {checkCaller} from './callerCheck.js';
+import {
+  checkBodyDigest,
+  collectRequestHeaders,
+  readBody,
+} from './httpExchange.js';
+import {createRefusal} from './refusal.js';
+import type {IncomingCall} from './types.js';
+import {CallOrigin} from './types.js';
+
+/** Checks the headers of a call; throws with every fault. */
+export function readHeaders(request: IncomingMessage): CallHeaders {
+  const result = parseCallHeaders(request.headers);
+  if (result.headers) return result.headers;
+  throw createRefusal(
+    RefusalReason.MALFORMED,
+    result.findings.map(formatFinding).join('; '),
+  );
+}
+
+/** Reads a call that came in on the public or the peer port. */
+export async function readIncomingCall(
+  parts: NodeParts,
+  origin: CallOrigin,
+  request: IncomingMessage,
+  headers: CallHeaders,
+): Promise<IncomingCall> {
+  const compiledClass = findClass(parts, headers);
+  const requestId = readRequestId(headers, compiledClass);
+  checkGuardHeaders(headers, compiledClass);
+  const caller =
+    origin === CallOrigin.PUBLIC
+      ? checkCaller(parts.configuration.get(), headers, parts.tokenDigests)
+      : readPeerCaller(headers);
+  const identity: RequestIdentity = {
+    caller: caller.name,
+    requestClass: headers.requestClass,
+    requestId,
+  };
+  const grant =
+    origin === CallOrigin.PUBLIC
+      ? openEntry(parts, headers, compiledClass, identity, caller.trusted)
+      : {allowance: headers.allowance ?? 0};
+  const deadline = parts.clock.readMs() + readTimeout(headers, compiledClass);
+  const body = await readBody(request);
+  checkBodyDigest(body, headers.contentDigest);
+  return {
+    requestId: headers.requestId ?? requestId,
+    identity,
+    rootId: headers.rootId ?? `${caller.name}/${requestId}`,
+    headers,
+    compiledClass,
+    importance: readImportance(origin, headers, compiledClass),
+    deadline,
+    grant,
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    passedHeaders: collectRequestHeaders(request.headers),
+    body,
+  };
+}
+
+/** The configured class of a call. */
+export function findClass(
+  parts: NodeParts,
+  headers: CallHeaders,
+): CompiledClass {
+  const found = parts.configuration.get().classes.get(headers.requestClass);
+  if (!found) {
+    throw createRefusal(
+      RefusalReason.MALFORMED,
+      `request class "${headers.requestClass}" is not configured`,
+    );
+  }
+  const {service} = found.definition;
+  if (headers.service !== undefined && headers.service !== service) {
+    throw createRefusal(
+      RefusalReason.MALFORMED,
+      `request class "${headers.requestClass}" belongs to service "${service}", not "${headers.service}"`,
+    );
+  }
+  return found;
+}
+
+/** The id that guards a claimed request is its idempotency key. */
+export function readRequestId(
+  headers: CallHeaders,
+  {definition}: CompiledClass,
+): string {
+  if (definition.guard === RepeatGuard.CLAIM && headers.idempotencyKey) {
+    return headers.idempotencyKey.slice(0, MAX_REQUEST_ID_LENGTH);
+  }
+  return headers.requestId ?? randomUUID();
+}
+
+/** Throws when a guarded call lacks what its guard needs. */
+export function checkGuardHeaders(
+  headers: CallHeaders,
+  {definition}: CompiledClass,
+): void {
+  const {guard, name} = definition;
+  if (guard === RepeatGuard.PIN && !(headers.pin && headers.requestId)) {
+    throw createRefusal(
+      RefusalReason.MALFORMED,
+      `class "${name}" needs the headers sycamoreyoke-request-id and sycamoreyoke-pin`,
+    );
+  }
+  if (guard === RepeatGuard.CLAIM && !headers.idempotencyKey) {
+    throw createRefusal(
+      RefusalReason.MALFORMED,
+      `class "${name}" needs the header idempotency-key`,
+    );
+  }
+}
+
+function readPeerCaller(headers: CallHeaders) {
+  const name = headers.rootId?.split('/')[0];
+  if (name === undefined) {
+    throw createRefusal(
+      RefusalReason.MALFORMED,
+      'header sycamoreyoke-root-id is required on the peer port',
+    );
+  }
+  return {name, trusted: true};
+}
+
+function openEntry(
+  parts: NodeParts,
+  headers: CallHeaders,
+  {definition, retryLimit}: CompiledClass,
+  identity: RequestIdentity,
+  isTrusted: boolean,
+): EntryGrant {
+  return parts.entryLedger.open({
+    identity,
+    limit: retryLimit.perRequest,
+    isTrusted,
+    isOwnService: definition.service === parts.service,
+    ...(headers.allowance === undefined ? {} : {allowance: headers.allowance}),
+  });
+}
+
+function readTimeout(headers: CallHeaders, {definition}: CompiledClass) {
+  return Math.min(
+    headers.timeoutMs ?? definition.timeoutMs,
+    definition.timeoutMs,
+  );
+}
+
+/** Only nodes may raise the importance above that of the class. */
+function readImportance(
+  origin: CallOrigin,
+  headers: CallHeaders,
+  {importance}: CompiledClass,
+): Importance {
+  return origin === CallOrigin.PEER
+    ? Math.max(importance, headers.importance ?? importance)
+    : importance;
+}
--- /dev/null
+++ b/packages/node/src/request/refusal.ts
@@ -0,0 +1,49 @@
+/** Ends of a request that are no response of the upstream. */
+import {SycamoreyokeError} from 'sycamoreyoke/errors';
+import type {SendAnswer} from 'sycamoreyoke/request/outcome';
+import {createRefusalAnswer} from 'sycamoreyoke/request/outcome';
+import {RefusalReason} from 'sycamoreyoke/types';
+
+/** Ends the handling of a request with an answer of the node itself. */
+export class RefusedRequest extends SycamoreyokeError {
+  constructor(
+    readonly answer: SendAnswer,
+    message: string,
+  ) {
+    super(message);
+  }
+}
+
+/** A refusal before anything was dispatched. */
+export function createRefusal(
+  reason: RefusalReason,
+  message: string,
+): RefusedRequest {
+  return new RefusedRequest(createRefusalAnswer(reason), message);
+}
+
+/** Status code of an answer that is no response of the upstream. */
+export function getRefusalStatus(reason: RefusalReason | undefined): number {
+  switch (reason) {
+    case RefusalReason.MALFORMED:
+      return 400;
+    case RefusalReason.UNAUTHENTICATED:
+      return 401;
+    case RefusalReason.FORBIDDEN:
+      return 403;
+    case RefusalReason.TOO_LARGE:
+      return 413;
+    case RefusalReason.DEADLINE:
+      return 504;
+    case RefusalReason.CONNECTION_LOST:
+    case RefusalReason.BAD_RESPONSE:
+    case RefusalReason.WRONG_INCARNATION:
+    case RefusalReason.EXPIRED_PIN:
+    case RefusalReason.EXPIRED_KEY:
+    case RefusalReason.CLAIM_OWNER_GONE:
+    case RefusalReason.CLAIM_HELD:
+      return 502;
+    default:
+      return 503;
+  }
+}
--- /dev/null
+++ b/packages/node/src/request/upstreamRun.ts
@@ -0,0 +1,235 @@
+/** Runs an admitted call on the upstream beside the node. */
+import {randomUUID} from 'node:crypto';
+import type {ServerResponse} from 'node:http';
+import {formatFinding} from 'sycamoreyoke/findings';
+import {EventCode} from 'sycamoreyoke/process/events';
+import {Completion} from 'sycamoreyoke/process/types';
+import {RetryLedger} from 'sycamoreyoke/request/allowance';
+import {SendPhase, createRefusalAnswer} from 'sycamoreyoke/request/outcome';
+import {checkResponse} from 'sycamoreyoke/request/responseCheck';
+import {Outcome, RefusalReason, RepeatGuard} from 'sycamoreyoke/types';
+import type {Exchange, ExchangeResult} from '../connection/exchange.js';
+import {ExchangeEnd, startExchange} from '../connection/exchange.js';
+import type {ExecutionEnd} from '../process/executorTask.js';
+import type {NodeParts} from '../process/nodeParts.js';
+import {collectResponseHeaders} from './httpExchange.js';
+import type {IncomingCall} from './types.js';
+
+/**
+ * A guarded request is not cut at its deadline: its answer is worth keeping
+ * for a resend, and cutting it would leave its outcome unknown.
+ */
+const GUARDED_GRACE_MS = 10_000;
+
+/** The end of an execution, with the retries of the calls that it made. */
+export interface UpstreamRun extends ExecutionEnd {
+  readonly retries: number;
+  /** When a refused request may be sent again. */
+  readonly retryAfterMs?: number;
+}
+
+/** Waits for a slot, runs the call and checks its response. */
+export async function runOnUpstream(
+  parts: NodeParts,
+  call: IncomingCall,
+  client: ServerResponse,
+  mayDispatch: () => boolean,
+): Promise<UpstreamRun> {
+  const executionId = randomUUID();
+  const offeredMs = parts.clock.readMs();
+  const isRepeatable = call.compiledClass.definition.guard === RepeatGuard.NONE;
+  const stopWatching = watchClient(client, isRepeatable, () =>
+    parts.gate.cancel(executionId),
+  );
+  const refusal = await parts.gate.admit({
+    ticket: executionId,
+    importance: call.importance,
+    deadline: call.deadline,
+    requestClass: call.identity.requestClass,
+  });
+  stopWatching();
+  if (refusal) {
+    const {reason, retryAfterMs} = refusal;
+    return {...createNotRun(reason), retryAfterMs};
+  }
+  if (!mayDispatch()) {
+    parts.gate.finish(executionId, Completion.CANCELLED);
+    return createNotRun(RefusalReason.SUPERSEDED);
+  }
+  recordStart(parts, call, parts.clock.readMs() - offeredMs);
+  const ledger = new RetryLedger(call.grant.allowance, parts.report);
+  parts.running.add({...call, executionId, ledger});
+  const exchange = startUpstreamExchange(parts, call, executionId);
+  const result = await waitForEnd(parts, call, client, exchange, isRepeatable);
+  parts.running.remove(executionId);
+  const {end, completion} = decideEnd(parts, call, result);
+  parts.gate.finish(executionId, completion);
+  return {...end, retries: ledger.close()};
+}
+
+function startUpstreamExchange(
+  parts: NodeParts,
+  call: IncomingCall,
+  executionId: string,
+): Exchange {
+  const isRepeatable = call.compiledClass.definition.guard === RepeatGuard.NONE;
+  const remainingMs = Math.ceil(call.deadline - parts.clock.readMs());
+  return startExchange(
+    parts.connections.find(parts.upstreamOrigin, isRepeatable),
+    {
+      method: call.method,
+      path: call.path,
+      headers: {
+        ...call.passedHeaders,
+        'sycamoreyoke-request-id': call.requestId,
+        'sycamoreyoke-class': call.identity.requestClass,
+        'sycamoreyoke-execution-id': executionId,
+        'sycamoreyoke-timeout-ms': String(Math.max(1, remainingMs)),
+      },
+      body: call.body,
+    },
+  );
+}
+
+/** Cancels the exchange at the deadline or when the caller has gone. */
+async function waitForEnd(
+  parts: NodeParts,
+  call: IncomingCall,
+  client: ServerResponse,
+  exchange: Exchange,
+  isRepeatable: boolean,
+): Promise<ExchangeResult> {
+  const graceMs = isRepeatable ? 0 : GUARDED_GRACE_MS;
+  const remainingMs = call.deadline - parts.clock.readMs() + graceMs;
+  const timer = setTimeout(
+    () => exchange.cancel('the deadline passed'),
+    Math.max(0, remainingMs),
+  );
+  const stopWatching = watchClient(client, isRepeatable, () =>
+    exchange.cancel('the caller closed its connection'),
+  );
+  try {
+    return await exchange.result;
+  } finally {
+    clearTimeout(timer);
+    stopWatching();
+  }
+}
+
+/** Calls back when the caller goes away; a guarded request runs on. */
+function watchClient(
+  client: ServerResponse,
+  isRepeatable: boolean,
+  handleGone: () => void,
+): () => void {
+  if (!isRepeatable) return () => undefined;
+  client.once('close', handleGone);
+  return () => client.off('close', handleGone);
+}
+
+interface DecidedEnd {
+  readonly end: ExecutionEnd;
+  readonly completion: Completion;
+}
+
+function decideEnd(
+  parts: NodeParts,
+  call: IncomingCall,
+  result: ExchangeResult,
+): DecidedEnd {
+  const isLate = parts.clock.readMs() >= call.deadline;
+  switch (result.end) {
+    case ExchangeEnd.RESPONSE:
+      return decideResponse(parts, call, result);
+    case ExchangeEnd.NOT_SENT:
+      void parts.monitor.check();
+      return {
+        end: createNotRun(
+          isLate ? RefusalReason.DEADLINE : RefusalReason.CONNECTION_LOST,
+        ),
+        completion: isLate ? Completion.CANCELLED : Completion.FAILED,
+      };
+    case ExchangeEnd.LOST:
+      parts.lostExecutions.add(call.identity);
+      void parts.monitor.check();
+      return {
+        end: createUnknown(
+          isLate ? RefusalReason.DEADLINE : RefusalReason.CONNECTION_LOST,
+        ),
+        completion: isLate ? Completion.TIMED_OUT : Completion.FAILED,
+      };
+  }
+}
+
+function decideResponse(
+  parts: NodeParts,
+  call: IncomingCall,
+  result: Extract<ExchangeResult, {end: ExchangeEnd.RESPONSE}>,
+): DecidedEnd {
+  const {status, headers, body} = result;
+  if (headers['sycamoreyoke-outcome'] === Outcome.NOT_RUN) {
+    const answer = createRefusalAnswer(RefusalReason.OVERLOADED);
+    return {
+      end: {answer, isRefusedByUpstream: true},
+      completion: Completion.SHED_BY_UPSTREAM,
+    };
+  }
+  const {requestId} = call;
+  const findings = checkResponse({
+    requestId,
+    isEnded: true,
+    body,
+    ...readChecks(headers),
+  });
+  if (findings.length > 0) {
+    const cause = findings.map(formatFinding).join('; ');
+    parts.record(EventCode.RESPONSE_DROPPED, {cause}, requestId);
+    return {
+      end: createUnknown(RefusalReason.BAD_RESPONSE),
+      completion: Completion.FAILED,
+    };
+  }
+  const response = {status, headers: collectResponseHeaders(headers), body};
+  return {
+    end: {
+      answer: {outcome: Outcome.DONE, response},
+      isRefusedByUpstream: false,
+    },
+    completion:
+      status === 503 ? Completion.SHED_BY_UPSTREAM : Completion.SUCCEEDED,
+  };
+}
+
+/** The headers by which a response is checked, where they are present. */
+export function readChecks(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+) {
+  const contentLength = headers['content-length'];
+  const contentDigest = headers['content-digest'];
+  const echoedRequestId = headers['sycamoreyoke-request-id'];
+  return {
+    ...(typeof contentLength === 'string' ? {contentLength} : {}),
+    ...(typeof contentDigest === 'string' ? {contentDigest} : {}),
+    ...(typeof echoedRequestId === 'string' ? {echoedRequestId} : {}),
+  };
+}
+
+/** The end of an execution before its dispatch. */
+export function createNotRun(reason: RefusalReason): UpstreamRun {
+  const answer = createRefusalAnswer(reason);
+  return {answer, isRefusedByUpstream: false, retries: 0};
+}
+
+function createUnknown(reason: RefusalReason): ExecutionEnd {
+  const answer = createRefusalAnswer(reason, SendPhase.AFTER_DISPATCH);
+  return {answer, isRefusedByUpstream: false};
+}
+
+function recordStart(
+  parts: NodeParts,
+  call: IncomingCall,
+  waitedMs: number,
+): void {
+  parts.metrics.observe('sycamoreyoke_wait_seconds', waitedMs);
+  parts.record(EventCode.REQUEST_STARTED, {waitedMs}, call.requestId);
+}
--- a/packages/node/src/wiring.ts
+++ b/packages/node/src/wiring.ts
@@ -1,58 +1,205 @@
 /** Constructs the parts of a node; no other module does. */
 import 'reflect-metadata';
+import {randomBytes, randomUUID} from 'node:crypto';
+import type {ServiceIdentifier} from 'inversify';
 import {Container} from 'inversify';
 import type {Clock} from 'sycamoreyoke/clock';
+import type {InvariantReporter} from 'sycamoreyoke/invariants';
 import type {TableService} from 'sycamoreyoke/platform';
-import {SimpleGate} from 'sycamoreyoke/process/simpleGate';
-import {SimpleRouter} from 'sycamoreyoke/process/simpleRouter';
-import type {Gate, Router} from 'sycamoreyoke/process/types';
+import {LevelCache} from 'sycamoreyoke/process/admissionLevel';
+import {ClaimCombiner} from 'sycamoreyoke/process/claimCombiner';
+import {CrashRegister} from 'sycamoreyoke/process/crashRegister';
+import {EntryLedger} from 'sycamoreyoke/process/entryLedger';
+import {EventCode, EventRing} from 'sycamoreyoke/process/events';
+import {AdaptiveGate} from 'sycamoreyoke/process/gate';
+import {RECOVERY_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
+import {HybridClock} from 'sycamoreyoke/process/hybridClock';
+import {createDefaultLimiter} from 'sycamoreyoke/process/limiter';
+import {Metrics} from 'sycamoreyoke/process/metrics';
+import {TwoChoiceRouter} from 'sycamoreyoke/process/router';
+import type {Router} from 'sycamoreyoke/process/types';
 import type {Random} from 'sycamoreyoke/random';
+import {ClaimProcedure} from 'sycamoreyoke/request/claim';
+import {RecordTable} from 'sycamoreyoke/request/pin';
 import {CallConnections} from './connection/callConnections.js';
+import {ControlClients} from './connection/controlClients.js';
+import {SocketBytes} from './connection/socketBytes.js';
 import {ConfigurationTask} from './process/configurationTask.js';
+import {createEventLog} from './process/eventLog.js';
+import {ExecutorTask} from './process/executorTask.js';
 import {GateTask} from './process/gateTask.js';
+import {Lifecycle} from './process/lifecycle.js';
+import {LostExecutions} from './process/lostExecutions.js';
+import {RetryBudgets} from './process/retryBudgets.js';
+import {RunningRequests} from './process/runningRequests.js';
 import type {NodeSettings} from './process/settings.js';
 import {systemClock} from './process/systemClock.js';
 import {TableClient} from './process/tableClient.js';
+import {TokenDigests} from './request/callerCheck.js';
 
 const CONNECTIONS_PER_ORIGIN = 256;
+const INCARNATION_BYTES = 16;
+/** Memory for the records of guarded requests in bytes. */
+const RECORD_MEMORY_BYTES = 48 * 1024 * 1024;
+
+function identify<T>(name: string): ServiceIdentifier<T> {
+  return Symbol.for(name);
+}
 
 /** Identifiers of the parts. */
 export const PARTS = {
-  settings: Symbol.for('settings'),
-  clock: Symbol.for('clock'),
-  random: Symbol.for('random'),
-  table: Symbol.for('table'),
-  gate: Symbol.for('gate'),
-  router: Symbol.for('router'),
-  gateTask: Symbol.for('gateTask'),
-  configurationTask: Symbol.for('configurationTask'),
-  connections: Symbol.for('connections'),
+  settings: identify<NodeSettings>('settings'),
+  incarnation: identify<string>('incarnation'),
+  clock: identify<Clock>('clock'),
+  hybridClock: identify<HybridClock>('hybridClock'),
+  random: identify<Random>('random'),
+  events: identify<EventRing>('events'),
+  metrics: identify<Metrics>('metrics'),
+  report: identify<InvariantReporter>('report'),
+  table: identify<TableService>('table'),
+  lifecycle: identify<Lifecycle>('lifecycle'),
+  gate: identify<GateTask>('gate'),
+  router: identify<Router>('router'),
+  levels: identify<LevelCache>('levels'),
+  retryBudgets: identify<RetryBudgets>('retryBudgets'),
+  entryLedger: identify<EntryLedger>('entryLedger'),
+  crashes: identify<CrashRegister>('crashes'),
+  lostExecutions: identify<LostExecutions>('lostExecutions'),
+  running: identify<RunningRequests>('running'),
+  records: identify<RecordTable>('records'),
+  configuration: identify<ConfigurationTask>('configuration'),
+  connections: identify<CallConnections>('connections'),
+  controlBytes: identify<SocketBytes>('controlBytes'),
+  controlClients: identify<ControlClients>('controlClients'),
+  combiner: identify<ClaimCombiner>('combiner'),
+  tokenDigests: identify<TokenDigests>('tokenDigests'),
 } as const;
 
-/** Binds every part of a node. */
+/** Binds every part of a node whose construction needs no open port. */
 export function buildContainer(settings: NodeSettings): Container {
   const container = new Container({defaultScope: 'Singleton'});
-  const get = <T>(part: symbol): T => container.get<T>(part);
-  container.bind(PARTS.settings).toConstantValue(settings);
-  container.bind<Clock>(PARTS.clock).toConstantValue(systemClock);
-  container.bind<Random>(PARTS.random).toConstantValue(Math.random);
-  container
-    .bind<TableService>(PARTS.table)
-    .toDynamicValue(() => new TableClient(settings.tableUrl));
-  container
-    .bind<Gate>(PARTS.gate)
-    .toDynamicValue(() => new SimpleGate(get(PARTS.clock), settings.slots));
-  container
-    .bind<Router>(PARTS.router)
-    .toDynamicValue(() => new SimpleRouter(get(PARTS.random)));
-  container
-    .bind(PARTS.gateTask)
-    .toDynamicValue(() => new GateTask(get(PARTS.gate), get(PARTS.clock)));
-  container
-    .bind(PARTS.configurationTask)
-    .toDynamicValue(() => new ConfigurationTask(get(PARTS.table)));
-  container
-    .bind(PARTS.connections)
-    .toDynamicValue(() => new CallConnections(CONNECTIONS_PER_ORIGIN));
+  const get = <T>(part: ServiceIdentifier<T>): T => container.get(part);
+  const bind = <T>(part: ServiceIdentifier<T>, create: () => T) =>
+    container.bind(part).toDynamicValue(create);
+
+  bind(PARTS.settings, () => settings);
+  bind(PARTS.incarnation, () => randomBytes(INCARNATION_BYTES).toString('hex'));
+  bind(PARTS.clock, () => systemClock);
+  bind(PARTS.random, () => Math.random);
+  bindObservability(get, bind, settings);
+  bindRequestParts(get, bind, settings);
+  bindConnections(get, bind, settings);
   return container;
 }
+
+type Get = <T>(part: ServiceIdentifier<T>) => T;
+type Bind = <T>(part: ServiceIdentifier<T>, create: () => T) => unknown;
+
+function bindObservability(get: Get, bind: Bind, settings: NodeSettings) {
+  bind(PARTS.hybridClock, () => new HybridClock(get(PARTS.clock)));
+  bind(PARTS.metrics, () => new Metrics());
+  bind(PARTS.events, () => {
+    const name = `${settings.service}/${get(PARTS.incarnation).slice(0, 8)}`;
+    const log = createEventLog(settings.logLevel);
+    return new EventRing(name, get(PARTS.hybridClock), log);
+  });
+  bind(PARTS.report, () => (invariant, detail) => {
+    get(PARTS.metrics).count('sycamoreyoke_invariant_violations_total', {
+      invariant,
+    });
+    const {record} = get(PARTS.events);
+    record(EventCode.INVARIANT_VIOLATED, {invariant, detail});
+  });
+}
+
+function bindRequestParts(get: Get, bind: Bind, settings: NodeSettings) {
+  bind(PARTS.lifecycle, () => new Lifecycle());
+  bind(PARTS.gate, () => {
+    const clock = get(PARTS.clock);
+    const gate = new AdaptiveGate({
+      clock,
+      limiter: createDefaultLimiter(settings.slots),
+      parameters: RECOVERY_PARAMETERS,
+      report: get(PARTS.report),
+    });
+    return new GateTask(gate, clock);
+  });
+  bind(
+    PARTS.router,
+    () =>
+      new TwoChoiceRouter({
+        clock: get(PARTS.clock),
+        random: get(PARTS.random),
+        dataCentre: settings.dataCentre,
+      }),
+  );
+  bind(PARTS.levels, () => new LevelCache(get(PARTS.clock), get(PARTS.random)));
+  bind(PARTS.retryBudgets, () => new RetryBudgets(get(PARTS.clock)));
+  bind(
+    PARTS.entryLedger,
+    () =>
+      new EntryLedger(
+        get(PARTS.clock),
+        get(PARTS.incarnation),
+        get(PARTS.report),
+      ),
+  );
+  bind(PARTS.crashes, () => new CrashRegister(get(PARTS.clock)));
+  bind(PARTS.lostExecutions, () => new LostExecutions(get(PARTS.clock)));
+  bind(PARTS.running, () => new RunningRequests());
+  bind(
+    PARTS.records,
+    () =>
+      new RecordTable({
+        clock: get(PARTS.clock),
+        incarnation: get(PARTS.incarnation),
+        limitBytes: RECORD_MEMORY_BYTES,
+        report: get(PARTS.report),
+      }),
+  );
+  bind(PARTS.tokenDigests, () => new TokenDigests());
+}
+
+function bindConnections(get: Get, bind: Bind, settings: NodeSettings) {
+  bind(PARTS.table, () => new TableClient(settings.tableUrl));
+  bind(
+    PARTS.combiner,
+    () => new ClaimCombiner(get(PARTS.clock), get(PARTS.table)),
+  );
+  bind(PARTS.configuration, () => new ConfigurationTask(get(PARTS.table)));
+  bind(PARTS.connections, () => new CallConnections(CONNECTIONS_PER_ORIGIN));
+  bind(PARTS.controlBytes, () => new SocketBytes());
+  bind(PARTS.controlClients, () => {
+    const {record} = get(PARTS.events);
+    return new ControlClients(get(PARTS.controlBytes), (origin) =>
+      record(EventCode.CONNECTION_REPLACED, {origin}),
+    );
+  });
+}
+
+/** Builds the executor, whose claims carry the control port of the node. */
+export function buildExecutor(
+  container: Container,
+  submit: ConstructorParameters<typeof ClaimProcedure>[0]['submit'],
+  askOwner: ConstructorParameters<typeof ClaimProcedure>[0]['askOwner'],
+  controlPort: number,
+): ExecutorTask {
+  const {address} = container.get(PARTS.settings);
+  const table = container.get(PARTS.table);
+  const records = container.get(PARTS.records);
+  const claims = new ClaimProcedure({
+    clock: container.get(PARTS.clock),
+    owner: {
+      incarnation: container.get(PARTS.incarnation),
+      address,
+      controlPort,
+    },
+    records,
+    submit,
+    read: (key) => table.read(key),
+    askOwner,
+    createNonce: randomUUID,
+  });
+  const {record} = container.get(PARTS.events);
+  return new ExecutorTask(records, claims, record);
+}
--- a/packages/standins/src/upstream/upstreamServer.ts
+++ b/packages/standins/src/upstream/upstreamServer.ts
@@ -111,7 +111,7 @@
       const timeoutMs = Number(readHeader(request, 'sycamoreyoke-timeout-ms'));
       const neededMs = this.computeServiceTime();
       await wait(neededMs, undefined, {signal: cancelled.signal});
-      const below = await this.sendBelow(requestId, requestClass, timeoutMs);
+      const below = await this.sendBelow(request, timeoutMs);
       this.executions.finish(requestId, requestClass);
       sendBody(response, {
         by: this.options.name,
@@ -137,10 +137,12 @@
 
   /** Makes the calls of the class; rejects when one of them fails. */
   private async sendBelow(
-    requestId: string,
-    requestClass: string,
+    request: IncomingMessage,
     timeoutMs: number,
   ): Promise<string[]> {
+    const requestId = readHeader(request, 'sycamoreyoke-request-id');
+    const requestClass = readHeader(request, 'sycamoreyoke-class');
+    const executionId = readHeader(request, 'sycamoreyoke-execution-id');
     const {egress, callsBelow} = this.options;
     const calls = callsBelow.filter((call) => call.onClass === requestClass);
     if (egress === undefined) return [];
@@ -151,7 +153,7 @@
           headers: {
             'sycamoreyoke-class': call.requestClass,
             'sycamoreyoke-request-id': `${requestId.slice(0, 60)}-${index}`,
-            'sycamoreyoke-parent-id': requestId,
+            'sycamoreyoke-parent-id': executionId,
           },
           signal: AbortSignal.timeout(timeoutMs > 0 ? timeoutMs : 5_000),
         });
--- a/packages/sycamoreyoke/src/process/claimCombiner.ts
+++ b/packages/sycamoreyoke/src/process/claimCombiner.ts
@@ -168,6 +168,11 @@
     return isIdle ? undefined : this.window.dueMs;
   }
 
+  /** Claims that wait for a batch. */
+  countWaiting(): number {
+    return this.waiting.length;
+  }
+
   readWindowMs(): number {
     return this.window.windowMs;
   }
--- a/packages/sycamoreyoke/src/process/metrics.ts
+++ b/packages/sycamoreyoke/src/process/metrics.ts
@@ -7,7 +7,7 @@
 
 const HIGHEST_VALUE_US = 120_000_000;
 const SIGNIFICANT_DIGITS = 2;
-const QUANTILES = [50, 90, 99, 99.9] as const;
+const QUANTILES = ['0.5', '0.9', '0.99', '0.999'] as const;
 const US_PER_SECOND = 1_000_000;
 const US_PER_MS = 1_000;
 
@@ -106,10 +106,11 @@
 }
 
 function renderTimer(timer: Timer): string[] {
-  const quantiles = QUANTILES.map((percentile) => {
-    const labels = {...timer.labels, quantile: String(percentile / 100)};
+  const quantiles = QUANTILES.map((quantile) => {
+    const labels = {...timer.labels, quantile};
     const seconds =
-      timer.histogram.getValueAtPercentile(percentile) / US_PER_SECOND;
+      timer.histogram.getValueAtPercentile(Number(quantile) * 100) /
+      US_PER_SECOND;
     return `${timer.name}${formatLabels(labels)} ${seconds}`;
   });
   const suffix = formatLabels(timer.labels);
--- a/packages/sycamoreyoke/src/request/headers.test.ts
+++ b/packages/sycamoreyoke/src/request/headers.test.ts
@@ -40,6 +40,8 @@
     token: 'secret',
     rootId: 'site/r-1',
     parentId: 'r-0',
+    importance: 2,
+    time: {wallMs: 1700000000000, counter: 3},
     contentDigest: `sha-256=:${'A'.repeat(43)}=:`,
   };
   expect(parseCallHeaders(formatCallHeaders(headers)).headers).to.deep.equal(
--- a/packages/sycamoreyoke/src/request/headers.ts
+++ b/packages/sycamoreyoke/src/request/headers.ts
@@ -1,6 +1,8 @@
 /** Reads and writes the headers of calls and responses. */
 import {z} from 'zod';
 import type {Finding} from '../findings.js';
+import type {HybridTime} from '../process/hybridClock.js';
+import {Importance} from '../types.js';
 import {
   HEADER_PREFIX,
   MAX_ALLOWANCE,
@@ -21,6 +23,7 @@
 const DIGEST = /^sha-256=:[A-Za-z0-9+/]{43}=:$/;
 const BEARER = /^Bearer ([\x21-\x7e]{1,256})$/;
 const ROOT_ID = /^[A-Za-z0-9_-]{1,64}\/[A-Za-z0-9_-]{1,64}$/;
+const TIME = /^(\d{1,16})\.(\d{1,9})$/;
 const WHOLE_NUMBER = /^\d{1,9}$/;
 
 const wholeNumber = (least: number, most: number) =>
@@ -49,7 +52,9 @@
   pin: matching(PIN, '<incarnation>.<epoch>').optional(),
   caller: matching(NAME, 'a caller name').optional(),
   'root-id': matching(ROOT_ID, '<caller>/<request id>').optional(),
-  'parent-id': matching(ID, 'a request id').optional(),
+  'parent-id': matching(ID, 'an execution id').optional(),
+  importance: wholeNumber(Importance.LOW, Importance.CRITICAL).optional(),
+  time: matching(TIME, '<milliseconds>.<counter>').optional(),
   'idempotency-key': z.uuidv7('must be a UUID of version 7').optional(),
   authorization: matching(BEARER, 'Bearer and a token').optional(),
   'content-digest': matching(DIGEST, 'sha-256=:<base64>:').optional(),
@@ -66,6 +71,8 @@
   'caller',
   'root-id',
   'parent-id',
+  'importance',
+  'time',
 ] as const;
 const PLAIN = ['idempotency-key', 'authorization', 'content-digest'] as const;
 
@@ -97,6 +104,18 @@
   return `${pin.incarnation}.${pin.epoch}`;
 }
 
+/** Splits a hybrid time. */
+export function parseTime(text: string): HybridTime | undefined {
+  const parts = TIME.exec(text);
+  if (!parts) return undefined;
+  return {wallMs: Number(parts[1]), counter: Number(parts[2])};
+}
+
+/** Renders a hybrid time for the wire. */
+export function formatTime(time: HybridTime): string {
+  return `${time.wallMs}.${time.counter}`;
+}
+
 /** Result of reading the headers of a call. */
 export type CallHeadersResult =
   | {readonly headers: CallHeaders; readonly findings?: never}
@@ -136,6 +155,8 @@
       token,
       rootId: data['root-id'],
       parentId: data['parent-id'],
+      importance: data.importance,
+      time: data.time === undefined ? undefined : parseTime(data.time),
       contentDigest: data['content-digest'],
     }) as CallHeaders,
   };
@@ -156,6 +177,8 @@
     authorization: call.token && `Bearer ${call.token}`,
     'root-id': call.rootId,
     'parent-id': call.parentId,
+    importance: call.importance,
+    time: call.time && formatTime(call.time),
     'content-digest': call.contentDigest,
   };
   const headers: Record<string, string> = {};
@@ -180,7 +203,9 @@
       response.retryAfterMs === undefined
         ? undefined
         : Math.max(1, Math.ceil(response.retryAfterMs / 1000)),
+    'sycamoreyoke-retry-after-ms': response.retryAfterMs,
     'content-digest': response.contentDigest,
+    'sycamoreyoke-time': response.time && formatTime(response.time),
   };
   const headers: Record<string, string> = {};
   for (const [name, value] of Object.entries(values)) {
--- a/packages/sycamoreyoke/src/request/types.ts
+++ b/packages/sycamoreyoke/src/request/types.ts
@@ -1,4 +1,5 @@
-import type {Outcome, RefusalReason} from '../types.js';
+import type {HybridTime} from '../process/hybridClock.js';
+import type {Importance, Outcome, RefusalReason} from '../types.js';
 
 /** The pin of a request: the only node process that may run it. */
 export interface Pin {
@@ -19,7 +20,10 @@
   readonly caller?: string;
   readonly token?: string;
   readonly rootId?: string;
+  /** Execution id of the request that the upstream runs. */
   readonly parentId?: string;
+  readonly importance?: Importance;
+  readonly time?: HybridTime;
   readonly contentDigest?: string;
 }
 
@@ -33,6 +37,7 @@
   readonly nextAttempt?: number;
   readonly retryAfterMs?: number;
   readonly contentDigest?: string;
+  readonly time?: HybridTime;
 }
 
 /** A complete response, ready to be sent or replayed. */
