--- a/packages/sycamoreyoke/src/request/pin.ts
+++ b/packages/sycamoreyoke/src/request/pin.ts
@@ -309,11 +309,12 @@
     answer: SendAnswer,
     bytes = computeBaseBytes(key),
   ): Settlement {
+    const latestEpoch = this.readEpoch();
     const record = this.store.get(key);
     if (record?.state !== RecordState.RUNNING) return {tickets: [], answer};
     const isRefused = state === RecordState.NOT_RUN;
     // A claimed record counts from its end, since no pin limits its use.
-    const epoch = key.includes('#') ? this.latestEpoch : record.epoch;
+    const epoch = key.includes('#') ? latestEpoch : record.epoch;
     this.store.set(key, {
       ...record,
       state,
@@ -323,7 +324,7 @@
       tickets: [],
       highestRefused: isRefused ? record.highestAttempt : record.highestRefused,
     });
-    if (epoch < this.latestEpoch - 1) this.remove(key);
+    if (epoch < latestEpoch - 1) this.remove(key);
     return {tickets: record.tickets, answer};
   }
 
