Detect silent connections and decide on resends

Cause: an open connection can go silent for good while new ones work; a request on it must neither run twice nor wait for its deadline when it is idempotent.

A silence closes the connections that were idle before it and is recorded as a latency, so that a slow-down raises the timeout.

--- /dev/null
+++ b/packages/sycamoreyoke/src/connection/linkState.test.ts
@@ -0,0 +1,198 @@
+import {expect} from 'chai';
+import {VirtualClock} from '../clock.js';
+import {reportByThrowing} from '../invariants.js';
+import type {Random} from '../random.js';
+import {createRandom, takeInteger} from '../random.js';
+import {Outcome} from '../types.js';
+import {LatencyWindow} from './latencyWindow.js';
+import {LinkState, computeResponseTimeout} from './linkState.js';
+import type {LinkAction} from './types.js';
+import {LinkActionKind, RepeatRule} from './types.js';
+
+const RULES = Object.values(RepeatRule);
+const TIMEOUT_MS = 6_000;
+
+interface Arrival {
+  readonly atMs: number;
+  readonly handle: () => LinkAction[];
+}
+
+interface Sent {
+  readonly rule: RepeatRule;
+  readonly deadline: number;
+  writes: number;
+  /** Times the member ran it; a pinned one joins its running execution. */
+  runs: number;
+  isElsewhere: boolean;
+  end?: LinkActionKind.COMPLETE | Outcome;
+}
+
+/** A member whose connections fall silent in one direction, or close. */
+class MemberRun {
+  readonly clock = new VirtualClock();
+  readonly sent = new Map<string, Sent>();
+  private readonly link = new LinkState(
+    this.clock,
+    new LatencyWindow(this.clock),
+    reportByThrowing,
+  );
+  private readonly silent = new Set<number>();
+  private arrivals: Arrival[] = [];
+
+  constructor(private readonly random: Random) {}
+
+  send(): void {
+    const id = `r${this.sent.size}`;
+    const rule = RULES[takeInteger(this.random, RULES.length)]!;
+    const deadline = this.clock.readMs() + TIMEOUT_MS;
+    const sent = {rule, deadline, writes: 0, runs: 0, isElsewhere: false};
+    this.sent.set(id, sent);
+    this.apply(this.link.send({id, rule, deadline, takeRetry: () => true}));
+  }
+
+  advance(milliseconds: number): void {
+    this.clock.advance(milliseconds);
+    const now = this.clock.readMs();
+    const due = this.arrivals.filter(({atMs}) => atMs <= now);
+    this.arrivals = this.arrivals.filter(({atMs}) => atMs > now);
+    due.forEach(({handle}) => this.apply(handle()));
+    this.apply(this.link.tick());
+  }
+
+  countConnections(): number {
+    return this.link.countConnections();
+  }
+
+  private apply(actions: readonly LinkAction[]): void {
+    for (const action of actions) this.applyOne(action);
+  }
+
+  private applyOne(action: LinkAction): void {
+    if (action.kind === LinkActionKind.OPEN) this.open(action.connection);
+    if (action.kind === LinkActionKind.WRITE) {
+      this.write(action.connection, this.sent.get(action.requestId)!);
+    }
+    if (action.kind === LinkActionKind.SEND_ELSEWHERE) {
+      this.sent.get(action.requestId)!.isElsewhere = true;
+    }
+    if (action.kind === LinkActionKind.COMPLETE) {
+      this.finish(action.requestId, LinkActionKind.COMPLETE);
+    }
+    if (action.kind === LinkActionKind.GIVE_UP) {
+      this.finish(action.requestId, action.outcome);
+    }
+  }
+
+  private finish(id: string, end: LinkActionKind.COMPLETE | Outcome): void {
+    const sent = this.sent.get(id)!;
+    expect(sent.end, `${id} ends twice`).to.equal(undefined);
+    sent.end = end;
+  }
+
+  private open(id: number): void {
+    const fate = this.random();
+    const atMs = this.clock.readMs() + 1;
+    if (fate < 0.8) {
+      this.arrivals.push({atMs, handle: () => this.link.handleOpened(id)});
+    } else if (fate < 0.9) {
+      this.arrivals.push({atMs, handle: () => this.link.handleClosed(id)});
+    }
+  }
+
+  /** The request, or its response, may be lost; the connection stays silent. */
+  private write(id: number, sent: Sent): void {
+    sent.writes += 1;
+    const fate = this.random();
+    if (this.silent.has(id) || fate < 0.1) {
+      this.silent.add(id);
+      return;
+    }
+    sent.runs += sent.rule === RepeatRule.PINNED && sent.runs > 0 ? 0 : 1;
+    if (fate < 0.2) {
+      this.silent.add(id);
+      return;
+    }
+    const isClosed = fate < 0.25;
+    const isSlow = fate > 0.95;
+    const atMs = this.clock.readMs() + (isSlow ? 4_000 : 20) * this.random();
+    const handle = isClosed
+      ? () => this.link.handleClosed(id)
+      : () => this.link.handleResponse(id);
+    this.arrivals.push({atMs, handle});
+  }
+}
+
+// Guards against a request that may have run being sent to another member or
+// written twice, a NOT_RUN for a request that ran, a request without an end,
+// and an idempotent request that waits on a silent connection.
+it('link state: silent connections never make a request run twice', () => {
+  const random = createRandom(61);
+  const ends = new Map<string, number>();
+  for (let run = 0; run < 60; run += 1) {
+    const member = new MemberRun(random);
+    for (let step = 0; step < 2_000; step += 1) {
+      if (step < 1_000 && random() < 0.2) member.send();
+      member.advance(random() < 0.001 ? 6_000 : 20);
+    }
+    for (const [id, sent] of member.sent) {
+      expect(sent.end, id).to.not.equal(undefined);
+      expect(sent.runs).to.be.at.most(1);
+      if (sent.rule !== RepeatRule.PINNED) {
+        expect(sent.writes).to.be.at.most(1);
+      }
+      if (sent.isElsewhere) expect(sent.rule).to.equal(RepeatRule.IDEMPOTENT);
+      if (sent.end === Outcome.NOT_RUN) expect(sent.writes).to.equal(0);
+      const key = `${sent.rule} ${sent.end}`;
+      ends.set(key, (ends.get(key) ?? 0) + 1);
+    }
+    expect(member.countConnections()).to.equal(0);
+  }
+  expect(ends.size).to.equal(9);
+});
+
+// Guards against an idempotent request waiting for its deadline while another
+// member works, and against more than one retry for one silence.
+it('link state: a silent idempotent request goes elsewhere in time', () => {
+  const clock = new VirtualClock();
+  const link = new LinkState(clock, new LatencyWindow(clock), reportByThrowing);
+  const kinds: LinkActionKind[] = [];
+  let retries = 0;
+  const takeRetry = () => {
+    retries += 1;
+    return true;
+  };
+  const rule = RepeatRule.IDEMPOTENT;
+  link.send({id: 'r', rule, deadline: 5_000, takeRetry});
+  link.handleOpened(1);
+  for (; clock.readMs() < 4_900; clock.advance(20)) {
+    kinds.push(...link.tick().map(({kind}) => kind));
+  }
+  expect(kinds).to.deep.equal([
+    LinkActionKind.SUSPECT_MEMBER,
+    LinkActionKind.SEND_ELSEWHERE,
+  ]);
+  expect(retries).to.equal(1);
+  const late = link.handleResponse(1).map(({kind}) => kind);
+  expect(late).to.deep.equal([LinkActionKind.COMPLETE, LinkActionKind.CLOSE]);
+});
+
+// Guards against a timeout below the latency of a member that has slowed
+// down, and against a quantile that differs from the sorted samples.
+it('latency window: agrees with sorted samples and forgets', () => {
+  const random = createRandom(62);
+  const clock = new VirtualClock();
+  const window = new LatencyWindow(clock);
+  expect(computeResponseTimeout(window.readP99())).to.equal(2_000);
+  for (let round = 0; round < 50; round += 1) {
+    const scale = 2 ** (10 * random());
+    const samples = Array.from({length: 320}, () => scale * (1 + random()));
+    samples.forEach((sample) => window.record(sample));
+    samples.sort((a, b) => a - b);
+    const exact = samples[Math.ceil(samples.length * 0.99) - 1]!;
+    expect(window.readP99()).to.be.within(exact, exact * 1.2);
+    clock.advance(20_000);
+    expect(window.readP99()).to.equal(undefined);
+  }
+  for (let sample = 0; sample < 100; sample += 1) window.record(1);
+  expect(computeResponseTimeout(window.readP99())).to.equal(50);
+});
