Check, compare and publish configuration sets

Cause: the configuration had a schema only. Nothing checked references, and nothing kept two operators from overwriting each other.

Change: version/check reports all findings of a whole set with file, line, object and path. version/diff compares sets and refuses a change of the guard or service of a request class, also through removal and re-creation (the row of a removed class keeps what it was). version/publish writes objects, change rows and head in one transaction, rebases over publishes of other objects, names the object and version of a conflict, and recognises its own publish by the nonce.

--- /dev/null
+++ b/packages/sycamoreyoke/src/version/check.test.ts
@@ -0,0 +1,208 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {Severity} from '../findings.js';
+import {RepeatGuard} from '../types.js';
+import {checkSet} from './check.js';
+import {checkTransitions, compareSets, buildObjectMap} from './diff.js';
+import type {
+  CallerObject,
+  ConfigurationObject,
+  RequestClassObject,
+  RetryLimitObject,
+} from './types.js';
+import {ImportanceName, Lean, ObjectKind} from './types.js';
+
+const SEED = 20_261;
+const name = fc.constantFrom('a', 'b', 'c');
+
+const object: fc.Arbitrary<ConfigurationObject> = fc.oneof(
+  fc.record({
+    kind: fc.constant(ObjectKind.SERVICE as const),
+    name,
+    policy: name,
+  }),
+  fc.record({
+    kind: fc.constant(ObjectKind.REQUEST_CLASS as const),
+    name,
+    service: name,
+    importance: fc.constantFrom(...Object.values(ImportanceName)),
+    idempotent: fc.boolean(),
+    guard: fc.constantFrom(...Object.values(RepeatGuard)),
+    retryLimit: name,
+    timeoutMs: fc.constantFrom(0, 10, 200),
+  }),
+  fc.record({
+    kind: fc.constant(ObjectKind.RETRY_LIMIT as const),
+    name,
+    perRequest: fc.constantFrom(-1, 0, 3),
+    shareOfTraffic: fc.constantFrom(0, 0.1),
+    backoffBaseMs: fc.constantFrom(1, 20, 100),
+    backoffMaxMs: fc.constantFrom(10, 50),
+  }),
+  fc.record({
+    kind: fc.constant(ObjectKind.CALLER as const),
+    name,
+    tokenSha256: fc.constantFrom('0'.repeat(64), '1'.repeat(64), 'short'),
+    classes: fc.array(name, {minLength: 1, maxLength: 3}),
+    trusted: fc.boolean(),
+  }),
+  fc.record({
+    kind: fc.constant(ObjectKind.POLICY as const),
+    name,
+    lean: fc.constantFrom(...Object.values(Lean)),
+    queueLimit: fc.constantFrom(-1, 100),
+  }),
+);
+
+/** Naive check: one question at a time, asked of every pair of objects. */
+function listNaive(set: readonly ConfigurationObject[]): string[] {
+  const found: string[] = [];
+  const isValid = (one: ConfigurationObject) => listInvalid(one).length === 0;
+  const has = (kind: ObjectKind, wanted: string) =>
+    set.some((one) => one.kind === kind && one.name === wanted);
+  const valid = set.filter(isValid);
+  const callers = valid.filter(
+    (one): one is CallerObject => one.kind === ObjectKind.CALLER,
+  );
+  set.forEach((one, index) => {
+    const add = (path: string) => found.push(`${one.kind}/${one.name}:${path}`);
+    const isRepeated = set
+      .slice(0, index)
+      .some((other) => other.kind === one.kind && other.name === one.name);
+    if (isRepeated) add('name');
+    listInvalid(one).forEach(add);
+    if (!isValid(one)) return;
+    if (one.kind === ObjectKind.SERVICE) {
+      if (!has(ObjectKind.POLICY, one.policy)) add('policy');
+    }
+    if (one.kind === ObjectKind.REQUEST_CLASS) {
+      if (!has(ObjectKind.SERVICE, one.service)) add('service');
+      if (!has(ObjectKind.RETRY_LIMIT, one.retryLimit)) add('retryLimit');
+      if (one.idempotent !== (one.guard === RepeatGuard.NONE)) add('guard');
+      if (listLongRetries(valid, one)) add('retryLimit');
+    }
+    if (one.kind === ObjectKind.RETRY_LIMIT) {
+      if (one.backoffBaseMs > one.backoffMaxMs) add('backoffBaseMs');
+      if (one.perRequest > 0 && one.shareOfTraffic === 0) add('shareOfTraffic');
+    }
+    if (one.kind === ObjectKind.CALLER) {
+      one.classes.forEach((wanted, position) => {
+        const isTwice = one.classes.slice(0, position).includes(wanted);
+        if (isTwice || !has(ObjectKind.REQUEST_CLASS, wanted)) {
+          add(`classes[${position}]`);
+        }
+      });
+      const first = callers.find((c) => c.tokenSha256 === one.tokenSha256);
+      if (first && first.name !== one.name) add('tokenSha256');
+    }
+  });
+  return found.sort();
+}
+
+function listInvalid(one: ConfigurationObject): string[] {
+  switch (one.kind) {
+    case ObjectKind.REQUEST_CLASS:
+      return one.timeoutMs < 1 ? ['timeoutMs'] : [];
+    case ObjectKind.RETRY_LIMIT:
+      return one.perRequest < 0 ? ['perRequest'] : [];
+    case ObjectKind.CALLER:
+      return one.tokenSha256 === 'short' ? ['tokenSha256'] : [];
+    case ObjectKind.POLICY:
+      return one.queueLimit < 0 ? ['queueLimit'] : [];
+    case ObjectKind.SERVICE:
+      return [];
+  }
+}
+
+function listLongRetries(
+  valid: readonly ConfigurationObject[],
+  one: RequestClassObject,
+): boolean {
+  const limit = valid.findLast(
+    (other): other is RetryLimitObject =>
+      other.kind === ObjectKind.RETRY_LIMIT && other.name === one.retryLimit,
+  );
+  if (!limit) return false;
+  let waitMs = 0;
+  for (let retry = 0; retry < limit.perRequest; retry += 1) {
+    waitMs +=
+      Math.min(limit.backoffBaseMs * 2 ** retry, limit.backoffMaxMs) / 2;
+  }
+  return waitMs >= one.timeoutMs;
+}
+
+// Guards against a rule that hides another fault or misses a place.
+it('check: finds what a naive check of every pair finds', () => {
+  fc.assert(
+    fc.property(fc.array(object, {maxLength: 12}), (set) => {
+      const {findings} = checkSet(set.map((value) => ({value})));
+      const places = findings
+        .filter(({severity}) => severity === Severity.ERROR)
+        .map(({kind, name, path}) => `${kind}/${name}:${path}`);
+      expect(places.sort()).to.deep.equal(listNaive(set));
+    }),
+    {seed: SEED, numRuns: 3_000},
+  );
+});
+
+// Guards against a publish of objects that nothing can reach by mistake.
+it('check: an object that nothing refers to is a warning', () => {
+  const policy = {kind: 'policy', name: 'p', lean: 'goodput', queueLimit: 1};
+  const [finding, ...rest] = checkSet([{value: policy}]).findings;
+  expect(finding?.severity).to.equal(Severity.WARNING);
+  expect(rest).to.have.length(0);
+});
+
+// Guards against a finding that an operator cannot locate.
+it('check: a finding names file, line, object and path', () => {
+  const value = {kind: 'policy', name: 'p', lean: 'goodput', queueLimit: -1};
+  const findLine = (path: ReadonlyArray<string | number>) =>
+    path[0] === 'queueLimit' ? 7 : 3;
+  const {findings} = checkSet([{value, file: 'x.yaml', findLine}]);
+  expect(findings[0]?.place).to.equal('x.yaml:7 policy "p" queueLimit');
+});
+
+const bookClass: RequestClassObject = {
+  kind: ObjectKind.REQUEST_CLASS,
+  name: 'book',
+  service: 'bookings',
+  importance: ImportanceName.CRITICAL,
+  idempotent: false,
+  guard: RepeatGuard.PIN,
+  retryLimit: 'none',
+  timeoutMs: 2_000,
+};
+
+// Guards against one request being guarded by pin and by claim in turn.
+it('diff: the guard and the service of a class never change', () => {
+  const before = buildObjectMap([bookClass]);
+  const changed = {...bookClass, guard: RepeatGuard.CLAIM, service: 'x'};
+  const after = buildObjectMap([changed]);
+  const direct = checkTransitions(compareSets(before, after), () => undefined);
+  const created = compareSets(new Map(), after);
+  const recreated = checkTransitions(created, () => bookClass);
+  expect(direct).to.have.length(2);
+  expect(recreated).to.have.length(2);
+});
+
+// Guards against a change that the comparison does not see.
+it('diff: applying the difference of two sets gives the second', () => {
+  const set = fc.uniqueArray(object, {
+    selector: (one) => `${one.kind}/${one.name}`,
+  });
+  fc.assert(
+    fc.property(set, set, (a, b) => {
+      const before = buildObjectMap(a);
+      const result = new Map(before);
+      for (const change of compareSets(before, buildObjectMap(b))) {
+        const key = `${change.kind}/${change.name}`;
+        if (change.after) result.set(key, change.after);
+        else result.delete(key);
+      }
+      expect(Object.fromEntries(result)).to.deep.equal(
+        Object.fromEntries(buildObjectMap(b)),
+      );
+    }),
+    {seed: SEED, numRuns: 500},
+  );
+});
--- /dev/null
+++ b/packages/sycamoreyoke/src/version/memoryTable.test.ts
@@ -0,0 +1,108 @@
+/** Table service and object store in memory, with faults, for tests. */
+import {expect} from 'chai';
+import {PlatformUnavailableError} from '../errors.js';
+import type {
+  ObjectStore,
+  TableRow,
+  TableService,
+  TableTransaction,
+  TransactionResult,
+} from '../platform.js';
+
+/** What goes wrong in an operation. */
+export enum TableFault {
+  NONE,
+  /** The operation does not take effect. */
+  DOWN,
+  /** The operation takes effect, its response is lost. */
+  LOST,
+  /** The operation takes effect after its failure was reported. */
+  LATE,
+}
+
+export class MemoryTable implements TableService {
+  readonly rows = new Map<string, TableRow>();
+  reads = 0;
+  private lastVersion = 0;
+
+  /** `delay` runs before the operation, `fault` chooses what goes wrong. */
+  constructor(
+    private readonly delay: () => Promise<void> = async () => {},
+    private readonly fault: () => TableFault = () => TableFault.NONE,
+  ) {}
+
+  read(key: string): Promise<TableRow | undefined> {
+    this.reads += 1;
+    return this.handle(() => this.rows.get(key));
+  }
+
+  list(prefix: string, after: string, limit: number): Promise<TableRow[]> {
+    this.reads += 1;
+    return this.handle(() =>
+      [...this.rows.values()]
+        .filter(({key}) => key.startsWith(prefix) && key > after)
+        .sort((a, b) => (a.key < b.key ? -1 : 1))
+        .slice(0, limit),
+    );
+  }
+
+  run(transaction: TableTransaction): Promise<TransactionResult> {
+    return this.handle(() => this.apply(transaction));
+  }
+
+  private async handle<T>(operation: () => T): Promise<T> {
+    await this.delay();
+    const fault = this.fault();
+    if (fault === TableFault.LATE) void this.delay().then(operation);
+    if (fault === TableFault.LOST) operation();
+    if (fault !== TableFault.NONE) {
+      throw new PlatformUnavailableError('no response');
+    }
+    const result = operation();
+    await this.delay();
+    return result;
+  }
+
+  private apply(transaction: TableTransaction): TransactionResult {
+    const conflicts = transaction.checks
+      .filter(({key, version}) => {
+        return (this.rows.get(key)?.version ?? 0) !== version;
+      })
+      .map(({key}) => this.rows.get(key) ?? {key, value: '', version: 0});
+    if (conflicts.length > 0) return {committed: false, conflicts};
+    for (const {key, value} of transaction.writes) {
+      this.lastVersion += 1;
+      if (value === undefined) this.rows.delete(key);
+      else this.rows.set(key, {key, value, version: this.lastVersion});
+    }
+    return {committed: true, conflicts: []};
+  }
+}
+
+export class MemoryStore implements ObjectStore {
+  readonly objects = new Map<string, Uint8Array>();
+
+  read(name: string): Promise<Uint8Array | undefined> {
+    return Promise.resolve(this.objects.get(name));
+  }
+
+  write(name: string, content: Uint8Array): Promise<void> {
+    this.objects.set(name, content);
+    return Promise.resolve();
+  }
+
+  list(prefix: string): Promise<string[]> {
+    const names = [...this.objects.keys()];
+    return Promise.resolve(names.filter((name) => name.startsWith(prefix)));
+  }
+}
+
+// Guards against a stand-in that lets a transaction through half.
+it('memory table: a failed condition writes nothing', async () => {
+  const table = new MemoryTable();
+  const writes = [{key: 'a', value: '1'}];
+  await table.run({checks: [{key: 'a', version: 0}], writes});
+  const again = {checks: [{key: 'a', version: 0}], writes};
+  expect((await table.run(again)).committed).to.equal(false);
+  expect(table.rows.get('a')?.version).to.equal(1);
+});
--- a/packages/sycamoreyoke/src/version/schema.ts
+++ b/packages/sycamoreyoke/src/version/schema.ts
@@ -1,6 +1,7 @@
 /** Schema of the configuration objects. */
 import {z} from 'zod';
 import {RepeatGuard} from '../types.js';
+import {MAX_CALLER_CLASSES} from './constants.js';
 import {ImportanceName, Lean, ObjectKind} from './types.js';
 
 const name = z
@@ -40,7 +41,7 @@
   kind: z.literal(ObjectKind.CALLER),
   name,
   tokenSha256: z.string().regex(/^[0-9a-f]{64}$/, 'must be 64 hex digits'),
-  classes: z.array(name).min(1),
+  classes: z.array(name).min(1).max(MAX_CALLER_CLASSES),
   trusted: z.boolean().default(false),
 });
 
@@ -59,3 +60,14 @@
   callerSchema,
   policySchema,
 ]);
+
+/** A configuration file: any part of the set. */
+export const fileSchema = z.strictObject({
+  $schema: z.string().optional(),
+  objects: z.array(objectSchema),
+});
+
+/** JSON Schema of a configuration file, as editors use it. */
+export function buildJsonSchema(): unknown {
+  return z.toJSONSchema(fileSchema, {io: 'input'});
+}
--- /dev/null
+++ b/packages/sycamoreyoke/src/version/tableSet.ts
@@ -0,0 +1,178 @@
+/** Reads the configuration from the platform's table. */
+import type {TableService} from '../platform.js';
+import {
+  CHANGE_PAGE,
+  CHANGE_PREFIX,
+  HEAD_KEY,
+  OBJECT_PAGE,
+  OBJECT_PREFIX,
+} from './constants.js';
+import type {ObjectMap} from './diff.js';
+import {applyEdits, buildReverseEdits, formatObjectKey} from './diff.js';
+import type {HeadValue, ObjectValue} from './tableRows.js';
+import {decodeChanges, formatChangeEnd} from './tableRows.js';
+import type {
+  ChangeRecord,
+  ConfigurationObject,
+  RequestClassObject,
+} from './types.js';
+import {ObjectKind} from './types.js';
+
+/** The head of the configuration; version 0 when nothing was published. */
+export interface Head {
+  readonly version: number;
+  /** Version of the row, for the condition of a transaction. */
+  readonly rowVersion: number;
+}
+
+/** An object as the table holds it. */
+export interface TableEntry extends ObjectValue {
+  /** Unknown when the entry comes from a change row. */
+  readonly rowVersion?: number;
+}
+
+/** The whole set of one version. */
+export interface TableSet {
+  readonly head: Head;
+  /** Present and removed objects by key. */
+  readonly entries: ReadonlyMap<string, TableEntry>;
+}
+
+/** Changes after a version, up to the newest that is complete. */
+export interface ChangeRange {
+  readonly records: readonly ChangeRecord[];
+  /** False when the oldest of the range are no longer kept. */
+  readonly isContiguous: boolean;
+}
+
+/** Reads the head. */
+export async function readHead(table: TableService): Promise<Head> {
+  const row = await table.read(HEAD_KEY);
+  if (!row) return {version: 0, rowVersion: 0};
+  const {version} = JSON.parse(row.value) as HeadValue;
+  return {version, rowVersion: row.version};
+}
+
+/** Reads the changes above `after`; those above `last` may be left out. */
+export async function readChanges(
+  table: TableService,
+  after: number,
+  last = Infinity,
+): Promise<ChangeRange> {
+  const values: string[] = [];
+  let from = formatChangeEnd(after);
+  for (;;) {
+    const rows = await table.list(CHANGE_PREFIX, from, CHANGE_PAGE);
+    values.push(...rows.map((row) => row.value));
+    from = rows.at(-1)?.key ?? from;
+    if (rows.length < CHANGE_PAGE || from > formatChangeEnd(last)) break;
+  }
+  const records = takeContiguous(decodeChanges(values));
+  const first = records[0]?.version ?? after + 1;
+  return {records, isContiguous: first === after + 1};
+}
+
+/**
+ * Reads the whole set. Publishes may go on while the object rows are listed:
+ * each row then has its state at a version between the head before and the
+ * head after, and applying the changes in between makes all of them current.
+ */
+export async function readTableSet(table: TableService): Promise<TableSet> {
+  const start = await readHead(table);
+  const entries = new Map<string, TableEntry>();
+  for (let after = ''; ;) {
+    const rows = await table.list(OBJECT_PREFIX, after, OBJECT_PAGE);
+    for (const row of rows) {
+      const value = JSON.parse(row.value) as ObjectValue;
+      const key = row.key.slice(OBJECT_PREFIX.length);
+      entries.set(key, {...value, rowVersion: row.version});
+    }
+    after = rows.at(-1)?.key ?? after;
+    if (rows.length < OBJECT_PAGE) break;
+  }
+  const refreshed = await refreshTableSet(table, {head: start, entries});
+  return refreshed.set;
+}
+
+/** Brings a set up to date; returns what changed. */
+export async function refreshTableSet(
+  table: TableService,
+  set: TableSet,
+): Promise<{set: TableSet; records: readonly ChangeRecord[]}> {
+  const head = await readHead(table);
+  if (head.version === set.head.version) return {set, records: []};
+  const range = await readChanges(table, set.head.version, head.version);
+  const records = range.records.filter(({version}) => version <= head.version);
+  const isComplete = records.at(-1)?.version === head.version;
+  if (!range.isContiguous || !isComplete) {
+    return {set: await readTableSet(table), records};
+  }
+  const entries = new Map(set.entries);
+  for (const record of records) applyRecord(entries, record);
+  return {set: {head, entries}, records};
+}
+
+/** Present objects of a set. */
+export function buildPresentObjects(set: TableSet): ObjectMap {
+  const objects = new Map<string, ConfigurationObject>();
+  for (const [key, {object}] of set.entries) {
+    if (object) objects.set(key, object);
+  }
+  return objects;
+}
+
+/** What a removed request class was. */
+export function findRetiredClass(
+  set: TableSet,
+  key: string,
+): RequestClassObject | undefined {
+  return set.entries.get(key)?.retired;
+}
+
+/** The set as it was at a version, or undefined when that is not kept. */
+export async function readSetAt(
+  table: TableService,
+  version: number,
+): Promise<ObjectMap | undefined> {
+  const current = await readTableSet(table);
+  if (version > current.head.version) return undefined;
+  const range = await readChanges(table, version, current.head.version);
+  const newer = range.records.filter(
+    (record) => record.version <= current.head.version,
+  );
+  const isComplete =
+    version === current.head.version ||
+    (range.isContiguous && newer.at(-1)?.version === current.head.version);
+  if (!isComplete) return undefined;
+  return newer
+    .toReversed()
+    .reduce(
+      (set, record) => applyEdits(set, buildReverseEdits(record.changes)),
+      buildPresentObjects(current),
+    );
+}
+
+function applyRecord(
+  entries: Map<string, TableEntry>,
+  record: ChangeRecord,
+): void {
+  for (const change of record.changes) {
+    const key = formatObjectKey(change);
+    const old = entries.get(key);
+    if (old && old.changedIn >= record.version) continue;
+    const retired =
+      change.before?.kind === ObjectKind.REQUEST_CLASS
+        ? change.before
+        : old?.retired;
+    entries.set(key, {
+      object: change.after,
+      changedIn: record.version,
+      ...(change.after || !retired ? {} : {retired}),
+    });
+  }
+}
+
+function takeContiguous(records: readonly ChangeRecord[]): ChangeRecord[] {
+  const first = records[0]?.version ?? 0;
+  return records.filter((record, index) => record.version === first + index);
+}
--- a/packages/sycamoreyoke/src/version/types.ts
+++ b/packages/sycamoreyoke/src/version/types.ts
@@ -79,3 +79,29 @@
   readonly version: number;
   readonly objects: readonly ConfigurationObject[];
 }
+
+/** Desired state of one object; null removes it. */
+export interface ObjectEdit {
+  readonly kind: ObjectKind;
+  readonly name: string;
+  readonly object: ConfigurationObject | null;
+}
+
+/** An object before and after a change; null stands for "absent". */
+export interface ObjectChange {
+  readonly kind: ObjectKind;
+  readonly name: string;
+  readonly before: ConfigurationObject | null;
+  readonly after: ConfigurationObject | null;
+}
+
+/** A published version as the change log holds it. */
+export interface ChangeRecord {
+  readonly version: number;
+  /** Chosen by the publisher; recognises a publish whose response was lost. */
+  readonly nonce: string;
+  readonly who: string;
+  /** ISO 8601 time of the publisher's clock. */
+  readonly when: string;
+  readonly changes: readonly ObjectChange[];
+}
