Rename the member groups of the router

Cause: two modules of that folder were called memberTable.

Change: the module that splits members by data centre is memberGroups.

--- a/packages/sycamoreyoke/src/process/router.ts
+++ b/packages/sycamoreyoke/src/process/router.ts
@@ -3,8 +3,8 @@
 import {COLD_START_MS} from './constants.js';
 import type {MemberLoad} from './memberLoad.js';
 import {applyResult, computeExpectedWaitMs, createLoad} from './memberLoad.js';
-import type {MemberGroups} from './memberTable.js';
-import {chooseRandomMember, splitMembers} from './memberTable.js';
+import type {MemberGroups} from './memberGroups.js';
+import {chooseRandomMember, splitMembers} from './memberGroups.js';
 import type {Member, MemberFilter, Router} from './types.js';
 
 /** Latency assumed of a member without observations. */
