Add membership as a library

Cause: nodes learned each other only from rows of the table, so a leave or a death stayed unknown for as long as the row was kept.

Change: member table with precedence by counter and rank, piggybacked updates, probes, lists by hash buckets, a caller's view with two informants and own evidence, seed rows; a virtual network for tests and measurements; wire messages extended. An accusation holds only in the data centre that made it; others check it by a probe of their own.

--- /dev/null
+++ b/packages/sycamoreyoke/src/process/informants.test.ts
@@ -0,0 +1,152 @@
+import {expect} from 'chai';
+import {VirtualClock} from '../clock.js';
+import {reportByThrowing} from '../invariants.js';
+import {createRandom} from '../random.js';
+import {FIRST_EVIDENCE_MS, SEED_REFRESH_MS, SEED_SLOTS} from './constants.js';
+import {ServiceView} from './informants.js';
+import {Membership} from './membership.js';
+import {MembershipActionKind, MessageKind} from './membershipMessages.js';
+import {
+  EMPTY_SEED_STATE,
+  computeSeedOwners,
+  decideSeedSlots,
+  parseSeedRows,
+  recordSeedSlots,
+} from './seeds.js';
+import {createUpdate} from './tableSync.js';
+import type {Member} from './types.js';
+import {MemberState} from './types.js';
+
+function createMembers(count: number): Member[] {
+  return Array.from({length: count}, (_, index) => ({
+    service: 'albums',
+    incarnation: `${index}`.padStart(32, 'a'),
+    counter: 1,
+    address: `10.0.0.${index}`,
+    peerPort: 1,
+    controlPort: 2,
+    adminPort: 3,
+    publicPort: 4,
+    dataCentre: 'kochi-a',
+    region: 'kerala',
+    state: MemberState.ACTIVE,
+    weight: 90,
+    epoch: 0,
+  }));
+}
+
+function createView(clock: VirtualClock, members: readonly Member[]) {
+  const view = new ServiceView({
+    service: 'albums',
+    sender: {service: 'fitting', incarnation: 'caller'},
+    dataCentre: 'kochi-a',
+    clock,
+    random: createRandom(3),
+  });
+  view.addContacts(members.map(createUpdate));
+  return view;
+}
+
+// Guards against calls to a member between its failure and the next poll, and
+// against an exclusion that never ends.
+it('caller view drops a failed member at once and tries it again', () => {
+  const clock = new VirtualClock();
+  const [first, second] = createMembers(2);
+  const view = createView(clock, [first, second] as Member[]);
+  view.observeFailure(first?.incarnation ?? '', false);
+  expect(view.listUsable()).to.deep.equal([second]);
+  clock.advance(FIRST_EVIDENCE_MS);
+  expect(view.listUsable()).to.deep.equal([first, second]);
+});
+
+// Guards against a second call to a member that has said that it leaves.
+it('caller view drops a member that refuses work to leave', () => {
+  const clock = new VirtualClock();
+  const [first, second] = createMembers(2);
+  const view = createView(clock, [first, second] as Member[]);
+  view.observeLeaving(first?.incarnation ?? '');
+  clock.advance(60_000);
+  expect(view.listUsable()).to.deep.equal([second]);
+});
+
+// Guards against a view that keeps asking an informant that does not answer.
+it('caller view changes an informant that fails', () => {
+  const clock = new VirtualClock();
+  const view = createView(clock, createMembers(3));
+  const [asked] = view.observeCall();
+  if (asked?.kind !== MembershipActionKind.SEND) throw new Error('no poll');
+  const [next] = view.handleFailure(asked.requestId, true);
+  if (next?.kind !== MembershipActionKind.SEND) throw new Error('no poll');
+  expect(next.to).not.to.deep.equal(asked.to);
+});
+
+// Guards against a woken process that takes the silence during its own pause
+// for the death of others, or serves before it has heard from a peer.
+it('membership is stale after a pause until a peer answers', () => {
+  const clock = new VirtualClock();
+  const [self, ...peers] = createMembers(4);
+  if (!self) throw new Error('no member');
+  const random = createRandom(4);
+  const report = reportByThrowing;
+  const membership = new Membership({self, clock, random, report});
+  membership.start(peers.map(createUpdate));
+  for (let elapsed = 0; elapsed < 2_100; elapsed += 100) {
+    clock.advance(100);
+    membership.tick();
+    if (elapsed > 500) break;
+  }
+  const {counter} = membership.readSelf();
+  clock.advance(9_000);
+  const actions = membership.tick();
+  expect(membership.isStale()).to.equal(true);
+  expect(membership.readSelf().counter).to.be.greaterThan(counter);
+  const states = new Set(membership.list().map(({state}) => state));
+  expect([...states]).to.deep.equal([MemberState.ACTIVE]);
+  const list = actions.find(
+    (action) =>
+      action.kind === MembershipActionKind.SEND &&
+      action.request.kind === MessageKind.LIST_MEMBERS,
+  );
+  if (list?.kind !== MembershipActionKind.SEND) throw new Error('no list');
+  membership.handleResponse(list.requestId, {
+    kind: MessageKind.LIST_MEMBERS,
+    sender: {service: 'albums', incarnation: peers[0]?.incarnation ?? ''},
+    sequence: 1,
+    isDelta: true,
+    members: [],
+  });
+  expect(membership.isStale()).to.equal(false);
+});
+
+// Guards against more rows than the table can take, and against all rows of a
+// service being rewritten at each change of a member.
+it('seeds are kept by four members and move little', () => {
+  const members = createMembers(50);
+  const owners = computeSeedOwners(members);
+  expect(new Set(owners).size).to.equal(SEED_SLOTS);
+  const fewer = computeSeedOwners(members.filter((m) => m !== owners[1]));
+  const moved = owners.filter((owner, slot) => owner !== fewer[slot]);
+  expect(moved.length).to.be.lessThan(3);
+  expect(computeSeedOwners(createMembers(1))).to.have.length(1);
+});
+
+// Guards against rows that are written at each tick, or never again.
+it('seeds are refreshed every 120 s by their owner', () => {
+  const owners = computeSeedOwners(createMembers(5));
+  const self = owners[2]?.incarnation ?? '';
+  const slots = decideSeedSlots(owners, self, EMPTY_SEED_STATE, 0);
+  expect(slots).to.deep.equal([2]);
+  const state = recordSeedSlots(owners, self, EMPTY_SEED_STATE, slots, 0);
+  expect(decideSeedSlots(owners, self, state, 1)).to.deep.equal([]);
+  expect(decideSeedSlots(owners, self, state, SEED_REFRESH_MS)).to.deep.equal([
+    2,
+  ]);
+});
+
+// Guards against a start that fails because of one damaged row.
+it('seeds leave out rows that cannot be read', () => {
+  const [member] = createMembers(1);
+  const values = ['{', 'null', '{"service":1}', JSON.stringify(member)];
+  const rows = values.map((value) => ({key: 'seeds/a/0', value, version: 1}));
+  expect(parseSeedRows(rows)).to.have.length(1);
+});
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/informants.ts
@@ -0,0 +1,260 @@
+/** A caller's view of the members of a service that it calls. */
+import type {Clock} from '../clock.js';
+import type {Random} from '../random.js';
+import {
+  EVIDENCE_MS,
+  GONE_RETENTION_MS,
+  FIRST_EVIDENCE_MS,
+  MAX_REPORTS,
+  POLL_AFTER_CALL_MS,
+  POLL_INTERVAL_MS,
+  PROBE_TIMEOUT_MS,
+  REPORT_INTERVAL_MS,
+  VIEW_STALE_MS,
+} from './constants.js';
+import type {
+  ListMembersRequest,
+  ListMembersResponse,
+  MemberUpdate,
+  MembershipAction,
+  MessageSender,
+} from './membershipMessages.js';
+import {MessageKind} from './membershipMessages.js';
+import {MemberTable} from './memberTable.js';
+import {RequestTracker} from './requestTracker.js';
+import type {Member} from './types.js';
+import {MemberState} from './types.js';
+
+/** Informants asked in turn. */
+const INFORMANTS = 2;
+
+/** A member that this caller reads the list from. */
+interface Informant {
+  readonly member: Member;
+  sequence: number;
+}
+
+/** Own failures with a member. */
+interface Evidence {
+  readonly untilMs: number;
+  readonly failures: number;
+}
+
+export interface ServiceViewOptions {
+  readonly service: string;
+  readonly sender: MessageSender;
+  readonly dataCentre: string;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** Members of one called service: lists of informants and own evidence. */
+export class ServiceView {
+  private readonly table: MemberTable;
+  private readonly evidence = new Map<string, Evidence>();
+  private readonly tracker = new RequestTracker();
+  private informants: Informant[] = [];
+  private reports: string[] = [];
+  private nextPollMs = 0;
+  private lastCallMs = -Infinity;
+  private lastAnswerMs = -Infinity;
+
+  constructor(private readonly options: ServiceViewOptions) {
+    this.table = new MemberTable((observer) => this.isTrusted(observer));
+  }
+
+  /** Adds members known from peers, from seeds or from settings. */
+  addContacts(contacts: readonly MemberUpdate[]): void {
+    const nowMs = this.options.clock.readMs();
+    for (const contact of contacts) this.table.apply(contact, nowMs);
+  }
+
+  /** A call is about to be made; the view is kept fresh for a while. */
+  observeCall(): MembershipAction[] {
+    const nowMs = this.options.clock.readMs();
+    const isWaking = nowMs - this.lastCallMs > POLL_AFTER_CALL_MS;
+    this.lastCallMs = nowMs;
+    return isWaking ? this.tick() : [];
+  }
+
+  /** Call at least every 100 ms. */
+  tick(): MembershipAction[] {
+    const nowMs = this.options.clock.readMs();
+    for (const pending of this.tracker.takeExpired(nowMs)) {
+      this.observeFailure(pending.target, false);
+      this.removeInformant(pending.target);
+    }
+    if (nowMs - this.lastCallMs > POLL_AFTER_CALL_MS) return [];
+    const isEarly =
+      this.reports.length > 0 &&
+      nowMs >= this.nextPollMs - POLL_INTERVAL_MS + REPORT_INTERVAL_MS;
+    if (nowMs >= this.nextPollMs || isEarly) this.poll(nowMs);
+    return this.tracker.takeActions();
+  }
+
+  handleResponse(
+    requestId: number,
+    response: ListMembersResponse,
+  ): MembershipAction[] {
+    const pending = this.tracker.takeRequest(requestId);
+    if (!pending) return [];
+    const nowMs = this.options.clock.readMs();
+    const {incarnation} = response.sender;
+    const informant = this.informants.find(
+      ({member}) => member.incarnation === pending.target,
+    );
+    if (incarnation !== pending.target) this.removeInformant(pending.target);
+    else if (informant) informant.sequence = response.sequence;
+    this.observeSuccess(incarnation);
+    for (const update of response.members) this.table.apply(update, nowMs);
+    this.expireRecords(nowMs - GONE_RETENTION_MS);
+    this.lastAnswerMs = nowMs;
+    return [];
+  }
+
+  /** The informant did not answer; another one is asked at once. */
+  handleFailure(requestId: number, refused: boolean): MembershipAction[] {
+    const pending = this.tracker.takeRequest(requestId);
+    if (!pending) return [];
+    this.observeFailure(pending.target, refused);
+    this.removeInformant(pending.target);
+    return this.tick();
+  }
+
+  /** A connection to the member was refused, or it did not answer in time. */
+  observeFailure(incarnation: string, refused: boolean): void {
+    const failures = (this.evidence.get(incarnation)?.failures ?? 0) + 1;
+    const isFirst = failures === 1 && !refused;
+    const lastsMs = isFirst ? FIRST_EVIDENCE_MS : EVIDENCE_MS;
+    const untilMs = this.options.clock.readMs() + lastsMs;
+    this.evidence.set(incarnation, {untilMs, failures});
+    if (this.reports.includes(incarnation)) return;
+    this.reports = [...this.reports, incarnation].slice(-MAX_REPORTS);
+  }
+
+  observeSuccess(incarnation: string): void {
+    this.evidence.delete(incarnation);
+  }
+
+  /** The member itself refused work because it is leaving. */
+  observeLeaving(incarnation: string): void {
+    const held = this.table.findUpdate(incarnation);
+    if (!held) return;
+    const update = {...held, state: MemberState.LEAVING, observer: ''};
+    this.table.apply(update, this.options.clock.readMs());
+  }
+
+  /** The member may get new work. */
+  isUsable(incarnation: string): boolean {
+    const nowMs = this.options.clock.readMs();
+    const {untilMs} = this.evidence.get(incarnation) ?? {untilMs: nowMs};
+    const state = this.table.find(incarnation)?.state;
+    return state === MemberState.ACTIVE && untilMs <= nowMs;
+  }
+
+  /** Members that may get new work. */
+  listUsable(): Member[] {
+    return this.table
+      .list()
+      .filter(({incarnation}) => this.isUsable(incarnation));
+  }
+
+  list(): Member[] {
+    return this.table.list();
+  }
+
+  /** No informant has answered lately: the list may be out of date. */
+  isStale(): boolean {
+    return this.options.clock.readMs() - this.lastAnswerMs > VIEW_STALE_MS;
+  }
+
+  /** No member is known that could be asked. */
+  needsContacts(): boolean {
+    return this.chooseInformants().length === 0;
+  }
+
+  private expireRecords(beforeMs: number): void {
+    this.table.expire(beforeMs);
+    for (const incarnation of this.evidence.keys()) {
+      if (!this.table.find(incarnation)) this.evidence.delete(incarnation);
+    }
+  }
+
+  private poll(nowMs: number): void {
+    this.informants = this.chooseInformants();
+    const [first, ...rest] = this.informants;
+    if (!first) return;
+    this.informants = [...rest, first];
+    this.nextPollMs = nowMs + POLL_INTERVAL_MS;
+    const {service, sender} = this.options;
+    const {member, sequence} = first;
+    const request: ListMembersRequest = {
+      kind: MessageKind.LIST_MEMBERS,
+      sender,
+      service,
+      informant: sequence === 0 ? '' : member.incarnation,
+      sinceSequence: sequence,
+      bucketHashes: [],
+      changedWithinMs: 0,
+      unreachable: this.reports,
+    };
+    this.reports = [];
+    this.tracker.send(
+      {address: member.address, port: member.controlPort},
+      {
+        request,
+        target: member.incarnation,
+        deadlineMs: nowMs + PROBE_TIMEOUT_MS,
+      },
+    );
+  }
+
+  /** Keeps usable informants and adds members of the own data centre, whose
+   * verdicts hold for this caller, or else others. */
+  private chooseInformants(): Informant[] {
+    const kept = this.informants.filter(({member}) =>
+      this.isUsable(member.incarnation),
+    );
+    const missing = INFORMANTS - kept.length;
+    if (missing <= 0) return kept;
+    const accepts = (member: Member) =>
+      this.isUsable(member.incarnation) &&
+      !kept.some((informant) => informant.member === member);
+    const {random} = this.options;
+    const near = this.table.chooseRandom(
+      missing,
+      random,
+      (member) => this.isNear(member) && accepts(member),
+    );
+    const others = this.table.chooseRandom(missing, random, accepts);
+    const chosen = [...new Set([...near, ...others])].slice(0, missing);
+    kept.push(...chosen.map((member) => ({member, sequence: 0})));
+    return kept.length > 0 ? kept : this.chooseAnyInformant();
+  }
+
+  /** When nobody is believed to answer, anybody is asked. */
+  private chooseAnyInformant(): Informant[] {
+    return this.table
+      .chooseRandom(1, this.options.random, () => true)
+      .map((member) => ({member, sequence: 0}));
+  }
+
+  private removeInformant(incarnation: string): void {
+    this.informants = this.informants.filter(
+      ({member}) => member.incarnation !== incarnation,
+    );
+    this.nextPollMs = 0;
+  }
+
+  private isNear(member: Member): boolean {
+    return member.dataCentre === this.options.dataCentre;
+  }
+
+  /** What another data centre cannot reach may be within reach of this
+   * caller; its verdict counts when no informant is nearer. */
+  private isTrusted(observer: string): boolean {
+    const {dataCentre} = this.options;
+    if (observer === dataCentre) return true;
+    return !this.informants.some(({member}) => this.isNear(member));
+  }
+}
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/membership.ts
@@ -0,0 +1,412 @@
+/** Membership of one node in its service: messages in, actions out. */
+import type {Clock} from '../clock.js';
+import type {InvariantReporter} from '../invariants.js';
+import {Invariant} from '../invariants.js';
+import type {Random} from '../random.js';
+import {
+  ANNOUNCE_INTERVAL_MS,
+  GONE_RETENTION_MS,
+  LEAVE_KNOWN_MS,
+  MAX_REPORTS,
+  PAUSE_GAP_MS,
+  STALE_LIMIT_MS,
+} from './constants.js';
+import type {
+  Endpoint,
+  ListMembersRequest,
+  ListMembersResponse,
+  MemberUpdate,
+  MembershipAction,
+  MembershipRequest,
+  MembershipResponse,
+  ProbeRequest,
+  ProbeResponse,
+} from './membershipMessages.js';
+import {MessageKind} from './membershipMessages.js';
+import {MemberNews} from './memberNews.js';
+import type {MemberTable} from './memberTable.js';
+import {MergeResult, isAccusation, isGone} from './memberTable.js';
+import {PeerRequests, getEndpoint} from './peerRequests.js';
+import type {ProbeStep} from './probing.js';
+import {ProbeStepKind, Prober} from './probing.js';
+import type {PendingRequest} from './requestTracker.js';
+import {RequestTracker} from './requestTracker.js';
+import {TableSync, createForeignList, createListResponse} from './tableSync.js';
+import type {Member} from './types.js';
+import {MemberState} from './types.js';
+
+/** Expired records are looked for this often. */
+const EXPIRE_INTERVAL_MS = 10_000;
+/** Peers asked by a process that starts or has been paused. */
+const REFRESH_PEERS = 3;
+
+export interface MembershipOptions {
+  readonly self: Member;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly report: InvariantReporter;
+  /** Members of other services that this node calls, for new nodes. */
+  readonly listOther?: (service: string) => readonly Member[];
+}
+
+/** The node's part in the membership of its service. */
+export class Membership {
+  private readonly news: MemberNews;
+  private readonly prober: Prober;
+  private readonly tracker = new RequestTracker();
+  private readonly requests: PeerRequests;
+  private readonly sync: TableSync;
+  private lastMs: number;
+  private staleUntilMs: number;
+  private nextAnnounceMs = 0;
+  private nextExpireMs = 0;
+  private leavingSinceMs?: number;
+
+  constructor(private readonly options: MembershipOptions) {
+    const {self, clock, random} = options;
+    this.lastMs = clock.readMs();
+    this.staleUntilMs = this.lastMs + STALE_LIMIT_MS;
+    this.sync = new TableSync(random);
+    this.news = new MemberNews(
+      self,
+      random,
+      this.handleMerge.bind(this),
+      this.lastMs,
+    );
+    this.requests = new PeerRequests(this.news, this.tracker);
+    this.prober = new Prober(this.news.table, self, random);
+  }
+
+  /** Members of the service as this node knows them. */
+  get table(): MemberTable {
+    return this.news.table;
+  }
+
+  /** Joins, or looks for lost peers, through records of seeds, of the mirror
+   * or of callers. */
+  start(contacts: readonly MemberUpdate[]): MembershipAction[] {
+    const nowMs = this.observeTime();
+    const found = contacts.filter(
+      ({incarnation}) => !this.table.find(incarnation),
+    );
+    for (const contact of contacts) this.news.applyListed(contact, nowMs);
+    for (const {record} of found.slice(0, REFRESH_PEERS)) {
+      if (record) this.requests.sendList(getEndpoint(record), 0, nowMs);
+    }
+    return this.tracker.takeActions();
+  }
+
+  /** Asks addresses whose records are not known. */
+  startAt(endpoints: readonly Endpoint[]): MembershipAction[] {
+    const nowMs = this.observeTime();
+    for (const endpoint of endpoints)
+      this.requests.sendList(endpoint, 0, nowMs);
+    return this.tracker.takeActions();
+  }
+
+  /** This node knows no live peer; contacts have to be looked up. */
+  needsContacts(): boolean {
+    return this.news.choosePeers(1).length === 0;
+  }
+
+  /** Makes a statement about this node: its state or its weight. */
+  setState(
+    state: MemberState,
+    weight = this.readSelf().weight,
+  ): MembershipAction[] {
+    const nowMs = this.observeTime();
+    const isNew = this.readSelf().state === MemberState.JOINING;
+    this.news.setSelf(state, weight, nowMs);
+    if (isNew || state === MemberState.LEAVING) {
+      this.requests.announce(nowMs);
+    }
+    return this.tracker.takeActions();
+  }
+
+  /** Tells the service that this node takes no new work. */
+  announceLeave(): MembershipAction[] {
+    this.leavingSinceMs = this.options.clock.readMs();
+    return this.setState(MemberState.LEAVING);
+  }
+
+  /** Call at least every 100 ms. */
+  tick(): MembershipAction[] {
+    const nowMs = this.observeTime();
+    for (const pending of this.tracker.takeExpired(nowMs)) {
+      this.handleNoAnswer(pending, false, nowMs);
+    }
+    if (this.readSelf().state !== MemberState.JOINING) {
+      this.handleSteps(this.prober.tick(nowMs), nowMs);
+    }
+    if (nowMs >= this.nextAnnounceMs && this.news.hasUrgent()) {
+      this.nextAnnounceMs = nowMs + ANNOUNCE_INTERVAL_MS;
+      this.requests.announce(nowMs);
+    }
+    if (nowMs >= this.nextExpireMs) {
+      this.nextExpireMs = nowMs + EXPIRE_INTERVAL_MS;
+      this.table.expire(nowMs - GONE_RETENTION_MS);
+    }
+    return this.tracker.takeActions();
+  }
+
+  /** @param replyTo names the request in the RESPOND action. */
+  handleRequest(
+    request: MembershipRequest,
+    replyTo: string,
+  ): MembershipAction[] {
+    const nowMs = this.observeTime();
+    if (request.kind === MessageKind.PROBE) {
+      this.handleProbe(request, replyTo, nowMs);
+    } else if (request.kind === MessageKind.INDIRECT_PROBE) {
+      this.requests.sendProbe(request.target, nowMs, replyTo);
+    } else if (request.kind === MessageKind.LIST_MEMBERS) {
+      this.tracker.respond(replyTo, this.createList(request, nowMs));
+    } else {
+      this.applyUpdates(request.updates, nowMs);
+      const sender = this.news.readSender();
+      this.tracker.respond(replyTo, {kind: MessageKind.ANNOUNCE, sender});
+    }
+    return this.tracker.takeActions();
+  }
+
+  handleResponse(
+    requestId: number,
+    response: MembershipResponse,
+  ): MembershipAction[] {
+    const nowMs = this.observeTime();
+    const pending = this.tracker.takeRequest(requestId);
+    if (!pending) return this.tracker.takeActions();
+    if (response.kind === MessageKind.PROBE) {
+      this.handleProbeResponse(pending, response, nowMs);
+    } else if (response.kind === MessageKind.INDIRECT_PROBE) {
+      if (response.reached) this.prober.handleAnswer(pending.target, nowMs);
+      else
+        this.handleSteps(
+          this.prober.handleHelperFailure(pending.target, response.refused),
+          nowMs,
+        );
+    } else if (response.kind === MessageKind.LIST_MEMBERS) {
+      this.staleUntilMs = 0;
+      const before = this.table.sequence;
+      for (const update of response.members) {
+        this.news.applyListed(update, nowMs);
+      }
+      this.sync.observeList(this.table.sequence > before, nowMs);
+    }
+    return this.tracker.takeActions();
+  }
+
+  /** @param refused the address refused the connection. */
+  handleFailure(requestId: number, refused: boolean): MembershipAction[] {
+    const nowMs = this.observeTime();
+    const pending = this.tracker.takeRequest(requestId);
+    if (pending) this.handleNoAnswer(pending, refused, nowMs);
+    return this.tracker.takeActions();
+  }
+
+  /** The process starts or wakes from a pause; it takes no new work until it
+   * has heard from a peer, or nobody has answered for two seconds. */
+  isStale(): boolean {
+    const nowMs = this.options.clock.readMs();
+    return nowMs - this.lastMs > PAUSE_GAP_MS || nowMs < this.staleUntilMs;
+  }
+
+  /** A caller or a peer has sent new work to this node. */
+  observeWork(detail: string): void {
+    const leftMs = this.options.clock.readMs() - (this.leavingSinceMs ?? NaN);
+    if (leftMs > LEAVE_KNOWN_MS) {
+      this.options.report(
+        Invariant.LEAVING_GETS_NO_WORK,
+        `${detail} ${leftMs} ms after the announcement`,
+      );
+    }
+  }
+
+  readSelf(): Member {
+    return this.news.readSelf();
+  }
+
+  list(): Member[] {
+    return this.table.list();
+  }
+
+  /** Whether a peer may send new work to the member. */
+  isUsable(incarnation: string): boolean {
+    return this.table.find(incarnation)?.state === MemberState.ACTIVE;
+  }
+
+  private observeTime(): number {
+    const nowMs = this.options.clock.readMs();
+    const isPaused = nowMs - this.lastMs > PAUSE_GAP_MS;
+    this.lastMs = nowMs;
+    if (isPaused) this.handlePause(nowMs);
+    return nowMs;
+  }
+
+  /** What was pending before the pause proves nothing about others. */
+  private handlePause(nowMs: number): void {
+    this.staleUntilMs = nowMs + STALE_LIMIT_MS;
+    this.tracker.reset();
+    this.prober.reset(nowMs);
+    this.news.raiseCounter(this.readSelf().counter, nowMs);
+    this.sendRefresh(nowMs);
+  }
+
+  private sendRefresh(nowMs: number): void {
+    for (const peer of this.news.choosePeers(REFRESH_PEERS)) {
+      this.requests.sendList(getEndpoint(peer), 0, nowMs);
+    }
+  }
+
+  private handleProbe(
+    request: ProbeRequest,
+    replyTo: string,
+    nowMs: number,
+  ): void {
+    const {target, targetCounter, targetState, sender} = request;
+    const {incarnation} = this.readSelf();
+    const mine: MemberUpdate[] = [];
+    if (target === incarnation) {
+      const isAccused =
+        targetState === MemberState.DEAD ||
+        (targetState === MemberState.SUSPECT &&
+          this.readSelf().state !== MemberState.SUSPECT);
+      if (isAccused) this.news.raiseCounter(targetCounter, nowMs);
+      if (targetCounter < this.readSelf().counter)
+        mine.push(this.news.readStatement());
+    }
+    const held = this.table.findUpdate(sender.incarnation);
+    if (held && isAccusation(held)) mine.push(held);
+    this.applyUpdates(request.updates, nowMs);
+    this.compareHash(request.membersHash, nowMs, held);
+    this.tracker.respond(replyTo, {
+      kind: MessageKind.PROBE,
+      sender: this.news.readSender(),
+      updates: [...mine, ...this.news.takeUpdates()],
+      membersHash: this.table.readHash(),
+    });
+  }
+
+  private handleProbeResponse(
+    pending: PendingRequest,
+    response: ProbeResponse,
+    nowMs: number,
+  ): void {
+    const {target, replyTo} = pending;
+    const isTarget = response.sender.incarnation === target;
+    if (replyTo !== undefined) this.reportReached(replyTo, isTarget, !isTarget);
+    if (!isTarget) this.handleReplaced(target, nowMs);
+    else this.prober.handleAnswer(target, nowMs);
+    this.applyUpdates(response.updates, nowMs);
+    const responder = this.table.findUpdate(response.sender.incarnation);
+    this.compareHash(response.membersHash, nowMs, responder);
+  }
+
+  /** Another incarnation answers at the address, so this one has ended. */
+  private handleReplaced(incarnation: string, nowMs: number): void {
+    const held = this.table.findUpdate(incarnation);
+    if (!held || isGone(held.state)) return;
+    this.news.apply({...held, state: MemberState.DEAD, observer: ''}, nowMs);
+  }
+
+  private handleNoAnswer(
+    pending: PendingRequest,
+    refused: boolean,
+    nowMs: number,
+  ): void {
+    const {request, target, replyTo} = pending;
+    if (replyTo !== undefined) {
+      this.reportReached(replyTo, false, refused);
+    } else if (request.kind === MessageKind.PROBE) {
+      const steps = this.prober.handleFailure(target, refused, nowMs);
+      this.handleSteps(steps, nowMs);
+    } else if (request.kind === MessageKind.INDIRECT_PROBE) {
+      this.handleSteps(this.prober.handleHelperFailure(target, false), nowMs);
+    } else if (this.staleUntilMs > nowMs) {
+      const [peer] = this.news.choosePeers(1);
+      if (peer) this.requests.sendList(getEndpoint(peer), 0, nowMs);
+    } else if (request.kind === MessageKind.ANNOUNCE) {
+      this.nextAnnounceMs = nowMs;
+    }
+  }
+
+  private handleSteps(steps: readonly ProbeStep[], nowMs: number): void {
+    for (const step of steps) this.handleStep(step, nowMs);
+  }
+
+  private handleStep(step: ProbeStep, nowMs: number): void {
+    const member = this.table.find(step.incarnation);
+    if (!member) return;
+    const {incarnation, counter} = member;
+    const observer = this.readSelf().dataCentre;
+    if (step.kind === ProbeStepKind.PROBE) {
+      this.requests.sendProbe(member, nowMs);
+    } else if (step.kind === ProbeStepKind.ASK_HELPERS) {
+      for (const helper of step.helpers) {
+        this.requests.sendIndirectProbe(helper, member, nowMs);
+      }
+    } else {
+      const state =
+        step.kind === ProbeStepKind.DEAD
+          ? MemberState.DEAD
+          : MemberState.SUSPECT;
+      this.news.apply({incarnation, counter, state, observer}, nowMs);
+      // The suspected member hears of it at once and can refute.
+      if (state === MemberState.SUSPECT) this.requests.sendProbe(member, nowMs);
+    }
+  }
+
+  private applyUpdates(updates: readonly MemberUpdate[], nowMs: number): void {
+    for (const update of updates) this.news.apply(update, nowMs);
+  }
+
+  /** Follows a change of the table. */
+  private handleMerge(
+    {incarnation}: MemberUpdate,
+    result: MergeResult,
+    isNew: boolean,
+    nowMs: number,
+  ): void {
+    if (result === MergeResult.UNVERIFIED) {
+      this.prober.verify(incarnation, nowMs);
+    }
+    const member = this.table.find(incarnation);
+    if (!member || (result === MergeResult.UNVERIFIED && !isNew)) return;
+    if (isNew) this.prober.add(incarnation);
+    this.prober.observe(member, this.news.isAccused(incarnation), nowMs);
+    this.tracker.reportChange(member);
+  }
+
+  private compareHash(
+    hash: number,
+    nowMs: number,
+    peer: MemberUpdate | undefined,
+  ): void {
+    const member = peer && this.table.find(peer.incarnation);
+    if (!member) return;
+    const ageMs = this.sync.compareHash(this.table.readHash(), hash, nowMs);
+    if (ageMs !== undefined)
+      this.requests.sendList(getEndpoint(member), ageMs, nowMs);
+  }
+
+  private createList(
+    request: ListMembersRequest,
+    nowMs: number,
+  ): ListMembersResponse {
+    const sender = this.news.readSender();
+    if (request.service === this.readSelf().service) {
+      for (const incarnation of request.unreachable.slice(0, MAX_REPORTS)) {
+        this.prober.verifyNow(incarnation, nowMs);
+      }
+      return createListResponse(sender, this.table, request, nowMs);
+    }
+    const members = this.options.listOther?.(request.service) ?? [];
+    return createForeignList(sender, members);
+  }
+
+  private reportReached(replyTo: string, reached: boolean, refused: boolean) {
+    const sender = this.news.readSender();
+    const kind = MessageKind.INDIRECT_PROBE;
+    this.tracker.respond(replyTo, {kind, sender, reached, refused});
+  }
+}
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/peerRequests.ts
@@ -0,0 +1,75 @@
+/** Requests that a node sends to the peers of its service. */
+import {ANNOUNCE_FANOUT, PROBE_TIMEOUT_MS} from './constants.js';
+import type {MemberNews} from './memberNews.js';
+import type {Endpoint, ProbeRequest} from './membershipMessages.js';
+import {MessageKind} from './membershipMessages.js';
+import type {RequestTracker} from './requestTracker.js';
+import {createListRequest} from './tableSync.js';
+import type {Member} from './types.js';
+
+/** Builds requests with the news on them and hands them to the tracker. */
+export class PeerRequests {
+  constructor(
+    private readonly news: MemberNews,
+    private readonly tracker: RequestTracker,
+  ) {}
+
+  /** Tells random peers the latest news. */
+  announce(nowMs: number): void {
+    for (const peer of this.news.choosePeers(ANNOUNCE_FANOUT)) {
+      const updates = this.news.takeUpdates();
+      if (updates.length === 0) return;
+      const sender = this.news.readSender();
+      this.tracker.send(getEndpoint(peer), {
+        request: {kind: MessageKind.ANNOUNCE, sender, updates},
+        target: peer.incarnation,
+        deadlineMs: nowMs + PROBE_TIMEOUT_MS,
+      });
+    }
+  }
+
+  /** @param replyTo indirect probe of another node that this one is for. */
+  sendProbe(member: Member, nowMs: number, replyTo?: string): void {
+    const held = this.news.table.find(member.incarnation) ?? member;
+    const request: ProbeRequest = {
+      kind: MessageKind.PROBE,
+      sender: this.news.readSender(),
+      target: held.incarnation,
+      targetCounter: held.counter,
+      targetState: held.state,
+      updates: this.news.takeUpdates(),
+      membersHash: this.news.table.readHash(),
+    };
+    this.tracker.send(getEndpoint(held), {
+      request,
+      target: held.incarnation,
+      deadlineMs: nowMs + PROBE_TIMEOUT_MS,
+      ...(replyTo === undefined ? {} : {replyTo}),
+    });
+  }
+
+  /** Asks the helper to probe the target. */
+  sendIndirectProbe(helper: Member, target: Member, nowMs: number) {
+    const sender = this.news.readSender();
+    this.tracker.send(getEndpoint(helper), {
+      request: {kind: MessageKind.INDIRECT_PROBE, sender, target},
+      target: target.incarnation,
+      deadlineMs: nowMs + 2 * PROBE_TIMEOUT_MS,
+    });
+  }
+
+  /** @param changedWithinMs age of the changes wanted; 0 for all. */
+  sendList(to: Endpoint, changedWithinMs: number, nowMs: number) {
+    const sender = this.news.readSender();
+    this.tracker.send(to, {
+      request: createListRequest(sender, this.news.table, changedWithinMs),
+      target: '',
+      deadlineMs: nowMs + 2 * PROBE_TIMEOUT_MS,
+    });
+  }
+}
+
+/** Control port of a member. */
+export function getEndpoint(member: Member): Endpoint {
+  return {address: member.address, port: member.controlPort};
+}
--- a/packages/sycamoreyoke/src/process/types.ts
+++ b/packages/sycamoreyoke/src/process/types.ts
@@ -78,6 +78,8 @@
   /** Announced slots of the upstream; a hint for routing. */
   readonly weight: number;
   readonly epoch: number;
+  /** Start of the process on the reader's own clock, from its age on the wire. */
+  readonly startedMs?: number;
 }
 
 /** The router's choice of a member for a call. */
