--- a/packages/sycamoreyoke/src/process/router.ts
+++ b/packages/sycamoreyoke/src/process/router.ts
@@ -130,9 +130,7 @@
     const seenMs = load ? clock.readMs() - load.seenMs : 0;
     if (seenMs >= COLD_START_MS) return 1;
     const announcedMs =
-      member.started === undefined
-        ? 0
-        : clock.readDate().getTime() - member.started;
+      member.startedMs === undefined ? 0 : clock.readMs() - member.startedMs;
     const ageMs = Math.max(seenMs, announcedMs);
     return Math.min(1, Math.max(COLDEST_SHARE, ageMs / COLD_START_MS));
   }
--- a/packages/sycamoreyoke/src/process/types.ts
+++ b/packages/sycamoreyoke/src/process/types.ts
@@ -87,22 +87,5 @@
   /** Announced slots of the upstream; a hint for routing. */
   readonly weight: number;
   readonly epoch: number;
-  /** Wall-clock time of the process start, by the member's own clock. */
-  readonly started?: number;
-}
-
-/** Narrows a choice, for example to members whose gate admits the request. */
-export type MemberFilter = (member: Member) => boolean;
-
-/** The router's choice of a member for a call. */
-export interface Router {
-  choose(
-    service: string,
-    excluded: ReadonlySet<string>,
-    mayChoose?: MemberFilter,
-  ): Member | undefined;
-  start(incarnation: string): void;
-  finish(incarnation: string, latencyMs: number, failed: boolean): void;
-  update(service: string, members: readonly Member[]): void;
-  list(service: string): readonly Member[];
-}
+  /** Start of the process on the reader's own clock, from its age on the wire. */
+  readonly startedMs?: number;
