--- a/packages/sycamoreyoke/src/process/types.ts
+++ b/packages/sycamoreyoke/src/process/types.ts
@@ -89,3 +89,20 @@
   readonly epoch: number;
   /** Start of the process on the reader's own clock, from its age on the wire. */
   readonly startedMs?: number;
+}
+
+/** Narrows a choice, for example to members whose gate admits the request. */
+export type MemberFilter = (member: Member) => boolean;
+
+/** The router's choice of a member for a call. */
+export interface Router {
+  choose(
+    service: string,
+    excluded: ReadonlySet<string>,
+    mayChoose?: MemberFilter,
+  ): Member | undefined;
+  start(incarnation: string): void;
+  finish(incarnation: string, latencyMs: number, failed: boolean): void;
+  update(service: string, members: readonly Member[]): void;
+  list(service: string): readonly Member[];
+}
