Assert that a silent idempotent request is sent elsewhere in time

Cause: only one directed test covered it; the random run would have passed with requests that wait until their deadline.

Result: npm test 27 passed.

--- a/packages/sycamoreyoke/src/connection/linkState.test.ts
+++ b/packages/sycamoreyoke/src/connection/linkState.test.ts
@@ -38,6 +38,7 @@
   );
   private readonly silent = new Set<number>();
   private arrivals: Arrival[] = [];
+  private frozenMs = -TIMEOUT_MS;
 
   constructor(private readonly random: Random) {}
 
@@ -51,6 +52,7 @@
   }
 
   advance(milliseconds: number): void {
+    if (milliseconds > 20) this.frozenMs = this.clock.readMs() + milliseconds;
     this.clock.advance(milliseconds);
     const now = this.clock.readMs();
     const due = this.arrivals.filter(({atMs}) => atMs <= now);
@@ -87,6 +89,11 @@
     const sent = this.sent.get(id)!;
     expect(sent.end, `${id} ends twice`).to.equal(undefined);
     sent.end = end;
+    const isLate = this.clock.readMs() >= sent.deadline;
+    const isFrozen = this.frozenMs >= sent.deadline - TIMEOUT_MS;
+    if (sent.rule === RepeatRule.IDEMPOTENT && isLate && !isFrozen) {
+      expect(sent.isElsewhere, `${id} waits until its deadline`).to.equal(true);
+    }
   }
 
   private open(id: number): void {
