Decide admission, early rejection and routing in the library

Cause: the node had a gate without a queue and a random choice of members; under overload it refused by chance, and nothing kept bookings until last.

Arrival gains requestClass, Gate.finish gains childMs, Completion gains SHED_DOWNSTREAM, Member gains started, Router.choose gains a filter.

--- /dev/null
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -0,0 +1,364 @@
+import type {Clock} from '../clock.js';
+import {SycamoreyokeError} from '../errors.js';
+import type {InvariantReporter} from '../invariants.js';
+import {Invariant} from '../invariants.js';
+import {Importance, RefusalReason} from '../types.js';
+import type {QueueState} from './admissionEstimate.js';
+import {AdmissionEstimate} from './admissionEstimate.js';
+import {DownstreamThrottle} from './downstreamThrottle.js';
+import type {GateParameters} from './gateParameters.js';
+import type {ConcurrencyLimiter} from './limiter.js';
+import {ServiceTimes} from './serviceTimes.js';
+import type {AdmissionLevel, Arrival, Gate, GateAction} from './types.js';
+import {Completion, GateActionKind} from './types.js';
+import type {WaitBound} from './waitBound.js';
+import type {WaitingRequest} from './waitQueue.js';
+import {WaitQueue} from './waitQueue.js';
+
+const LEVELS = [
+  Importance.LOW,
+  Importance.NORMAL,
+  Importance.HIGH,
+  Importance.CRITICAL,
+] as const;
+
+/** Bounds of the advice when to send a refused request again. */
+const SHORTEST_RETRY_AFTER_MS = 50;
+const LONGEST_RETRY_AFTER_MS = 2_000;
+
+/** What a gate is built from. */
+export interface GateParts {
+  readonly clock: Clock;
+  readonly limiter: ConcurrencyLimiter;
+  readonly parameters: GateParameters;
+  readonly report: InvariantReporter;
+}
+
+interface RunningRequest {
+  readonly arrival: Arrival;
+  readonly startedMs: number;
+}
+
+/**
+ * Admits requests within a learned limit. Waiting requests start by importance,
+ * then in the order of the parameters. Requests that can no longer meet their
+ * deadline are refused before they run.
+ */
+export class AdaptiveGate implements Gate {
+  private readonly queues: readonly WaitQueue[];
+  private readonly waiting = new Map<string, WaitingRequest>();
+  private readonly running = new Map<string, RunningRequest>();
+  private readonly serviceTimes = new ServiceTimes();
+  private readonly estimate = new AdmissionEstimate();
+  /** Counted apart from the queues, so that the assertion is independent. */
+  private readonly waitingByImportance = LEVELS.map(() => 0);
+  private readonly throttle: DownstreamThrottle;
+  private readonly waitBound: WaitBound;
+  private nextSequence = 0;
+
+  constructor(private readonly parts: GateParts) {
+    this.queues = LEVELS.map(() => new WaitQueue(parts.parameters.order));
+    this.throttle = new DownstreamThrottle(parts.parameters.downstreamHeadroom);
+    this.waitBound = parts.parameters.createWaitBound();
+  }
+
+  offer(arrival: Arrival): GateAction[] {
+    const nowMs = this.parts.clock.readMs();
+    this.checkTicket(arrival.ticket);
+    const needMs = this.computeNeedMs(arrival, nowMs);
+    if (isTooLate(arrival, needMs, nowMs)) {
+      return [this.createRefusal(arrival, RefusalReason.DEADLINE)];
+    }
+    if (
+      this.isOvercrowded(arrival, needMs, nowMs) ||
+      !this.isPromising(arrival, nowMs)
+    ) {
+      return [this.createRefusal(arrival, RefusalReason.OVERLOADED)];
+    }
+    this.estimate.observeSlack(arrival, arrival.deadline - nowMs - needMs);
+    this.addWaiting(arrival, nowMs);
+    const actions = this.startWaiting(nowMs);
+    if (this.waiting.size > this.parts.parameters.queueLimit) {
+      actions.push(...this.shedLeast());
+    }
+    return actions;
+  }
+
+  finish(ticket: string, completion: Completion, childMs = 0): GateAction[] {
+    const nowMs = this.parts.clock.readMs();
+    const request = this.running.get(ticket);
+    if (!request) return [];
+    this.observeEnd(request, completion, childMs, nowMs);
+    this.running.delete(ticket);
+    return this.startWaiting(nowMs);
+  }
+
+  cancel(ticket: string): GateAction[] {
+    const request = this.waiting.get(ticket);
+    if (!request) return this.finish(ticket, Completion.CANCELLED);
+    this.removeWaiting(request);
+    return [this.createRefusal(request.arrival, RefusalReason.CANCELLED)];
+  }
+
+  tick(): GateAction[] {
+    const nowMs = this.parts.clock.readMs();
+    const refusals = this.expireWaiting(nowMs);
+    return [...refusals, ...this.startWaiting(nowMs)];
+  }
+
+  readLevel(): AdmissionLevel {
+    return this.estimate.computeLevel(
+      this.describeQueue(this.parts.clock.readMs()),
+    );
+  }
+
+  countRunning(): number {
+    return this.running.size;
+  }
+
+  countWaiting(): number {
+    return this.waiting.size;
+  }
+
+  readLimit(): number {
+    return this.parts.limiter.readLimit();
+  }
+
+  private checkTicket(ticket: string): void {
+    if (this.waiting.has(ticket) || this.running.has(ticket)) {
+      throw new SycamoreyokeError(`ticket "${ticket}" was offered twice`);
+    }
+  }
+
+  private startWaiting(nowMs: number): GateAction[] {
+    const actions: GateAction[] = [];
+    while (this.running.size < this.parts.limiter.readLimit()) {
+      const request = this.readNext();
+      if (!request) break;
+      this.removeWaiting(request);
+      actions.push(
+        this.isHopeless(request, nowMs)
+          ? this.expire(request.arrival, RefusalReason.DEADLINE, nowMs)
+          : this.start(request.arrival, nowMs),
+      );
+    }
+    this.waitBound.observe(this.waiting.size, nowMs);
+    return actions;
+  }
+
+  private start(arrival: Arrival, nowMs: number): GateAction {
+    this.checkStart(arrival);
+    this.estimate.observeStart(arrival.importance, nowMs);
+    this.running.set(arrival.ticket, {arrival, startedMs: nowMs});
+    return {kind: GateActionKind.START, ticket: arrival.ticket};
+  }
+
+  private readNext(): WaitingRequest | undefined {
+    for (let index = this.queues.length - 1; index >= 0; index -= 1) {
+      const request = this.queues[index]?.readFirst();
+      if (request) return request;
+    }
+    return undefined;
+  }
+
+  private shedLeast(): GateAction[] {
+    for (const queue of this.queues) {
+      const request = queue.readLast();
+      if (!request) continue;
+      this.removeWaiting(request);
+      return [this.createRefusal(request.arrival, RefusalReason.OVERLOADED)];
+    }
+    return [];
+  }
+
+  /** Refuses at both ends, since the order need not be that of deadlines. */
+  private expireWaiting(nowMs: number): GateAction[] {
+    const actions: GateAction[] = [];
+    for (const queue of this.queues) {
+      for (const readEnd of [() => queue.readFirst(), () => queue.readLast()]) {
+        let request = readEnd();
+        while (request) {
+          const reason = this.chooseExpiry(request, nowMs);
+          if (!reason) break;
+          this.removeWaiting(request);
+          actions.push(this.expire(request.arrival, reason, nowMs));
+          request = readEnd();
+        }
+      }
+    }
+    return actions;
+  }
+
+  private expire(
+    arrival: Arrival,
+    reason: RefusalReason,
+    nowMs: number,
+  ): GateAction {
+    this.estimate.observeExpiry(arrival.importance, nowMs);
+    return this.createRefusal(arrival, reason);
+  }
+
+  private chooseExpiry(
+    request: WaitingRequest,
+    nowMs: number,
+  ): RefusalReason | undefined {
+    if (this.isHopeless(request, nowMs)) return RefusalReason.DEADLINE;
+    const isBounded = request.arrival.importance !== Importance.CRITICAL;
+    const waitedMs = nowMs - request.arrivedMs;
+    return isBounded && waitedMs > this.waitBound.readMs(nowMs)
+      ? RefusalReason.OVERLOADED
+      : undefined;
+  }
+
+  private isHopeless({arrival}: WaitingRequest, nowMs: number): boolean {
+    return isTooLate(arrival, this.computeNeedMs(arrival, nowMs), nowMs);
+  }
+
+  private computeNeedMs(arrival: Arrival, nowMs: number): number {
+    return this.serviceTimes.computeNeedMs(
+      getKind(arrival),
+      this.parts.parameters.deviations,
+      nowMs,
+    );
+  }
+
+  private observeEnd(
+    {arrival, startedMs}: RunningRequest,
+    completion: Completion,
+    childMs: number,
+    nowMs: number,
+  ): void {
+    const kind = getKind(arrival);
+    this.parts.limiter.observe({
+      startedMs,
+      finishedMs: nowMs,
+      childMs,
+      kind,
+      completion,
+      running: this.running.size,
+    });
+    this.serviceTimes.observe(kind, nowMs - startedMs, completion, nowMs);
+    const succeeded = completion === Completion.SUCCEEDED;
+    // A deadline may pass while a call further down still waits.
+    const isInVain =
+      completion === Completion.SHED_DOWNSTREAM ||
+      completion === Completion.TIMED_OUT;
+    if (succeeded || isInVain) this.throttle.observe(kind, succeeded, nowMs);
+  }
+
+  /**
+   * Whether the queue ahead outlasts the time that the request can spare. Its
+   * caller holds a slot while it waits, so a wait in vain costs capacity there.
+   */
+  private isOvercrowded(
+    {importance, deadline}: Arrival,
+    needMs: number,
+    nowMs: number,
+  ): boolean {
+    if (importance === Importance.CRITICAL) return false;
+    const waitMs = this.estimate.computeWaitMs(
+      importance,
+      this.describeQueue(nowMs),
+    );
+    return waitMs > deadline - nowMs - needMs;
+  }
+
+  private describeQueue(nowMs: number): QueueState {
+    return {
+      nowMs,
+      waitingByImportance: this.waitingByImportance,
+      queueLimit: this.parts.parameters.queueLimit,
+      maxWaitMs: this.waitBound.readMs(nowMs),
+      drainMsPerRequest: this.computeDrainMs(),
+    };
+  }
+
+  /** CRITICAL requests are never held back for what happens further down. */
+  private isPromising(arrival: Arrival, nowMs: number): boolean {
+    return (
+      arrival.importance === Importance.CRITICAL ||
+      this.throttle.admit(getKind(arrival), nowMs)
+    );
+  }
+
+  private addWaiting(arrival: Arrival, nowMs: number): void {
+    const request: WaitingRequest = {
+      arrival,
+      arrivedMs: nowMs,
+      sequence: this.nextSequence,
+      isWaiting: true,
+    };
+    this.nextSequence += 1;
+    this.waiting.set(arrival.ticket, request);
+    this.queues[arrival.importance]?.add(request);
+    this.countImportance(arrival.importance, 1);
+  }
+
+  private removeWaiting(request: WaitingRequest): void {
+    const {ticket, importance} = request.arrival;
+    this.waiting.delete(ticket);
+    this.queues[importance]?.remove(request);
+    this.countImportance(importance, -1);
+  }
+
+  private countImportance(importance: Importance, change: number): void {
+    const count = this.waitingByImportance[importance] ?? 0;
+    this.waitingByImportance[importance] = count + change;
+  }
+
+  private createRefusal(arrival: Arrival, reason: RefusalReason): GateAction {
+    this.checkRefusal(arrival, reason);
+    return {
+      kind: GateActionKind.REFUSE,
+      ticket: arrival.ticket,
+      reason,
+      retryAfterMs: this.computeRetryAfterMs(),
+    };
+  }
+
+  /** Time until the present queue has drained. */
+  private computeRetryAfterMs(): number {
+    const drainMs = this.waiting.size * this.computeDrainMs();
+    return Math.round(
+      Math.min(
+        Math.max(drainMs, SHORTEST_RETRY_AFTER_MS),
+        LONGEST_RETRY_AFTER_MS,
+      ),
+    );
+  }
+
+  private computeDrainMs(): number {
+    return this.serviceTimes.readOverallMs() / this.parts.limiter.readLimit();
+  }
+
+  private checkRefusal(arrival: Arrival, reason: RefusalReason): void {
+    const isOverload = reason === RefusalReason.OVERLOADED;
+    if (!isOverload || arrival.importance !== Importance.CRITICAL) return;
+    const lesser = this.waitingByImportance
+      .slice(0, Importance.CRITICAL)
+      .reduce((sum, count) => sum + count, 0);
+    if (lesser === 0) return;
+    this.parts.report(
+      Invariant.CRITICAL_SHED_LAST,
+      `critical ticket "${arrival.ticket}" refused while ${lesser} lesser ones wait`,
+    );
+  }
+
+  private checkStart(arrival: Arrival): void {
+    const critical = this.waitingByImportance[Importance.CRITICAL] ?? 0;
+    if (arrival.importance === Importance.CRITICAL || critical === 0) return;
+    this.parts.report(
+      Invariant.CRITICAL_SHED_LAST,
+      `lesser ticket "${arrival.ticket}" started while ${critical} critical ones wait`,
+    );
+  }
+}
+
+function isTooLate(arrival: Arrival, needMs: number, nowMs: number): boolean {
+  const remainingMs = arrival.deadline - nowMs;
+  return remainingMs <= 0 || remainingMs < needMs;
+}
+
+function getKind(arrival: Arrival): string {
+  return arrival.requestClass ?? String(arrival.importance);
+}
--- a/packages/sycamoreyoke/src/process/simpleRouter.ts
+++ b/packages/sycamoreyoke/src/process/simpleRouter.ts
@@ -1,6 +1,6 @@
 import type {Random} from '../random.js';
 import {takeInteger} from '../random.js';
-import type {Member, Router} from './types.js';
+import type {Member, MemberFilter, Router} from './types.js';
 import {MemberState} from './types.js';
 
 /** Uniform random choice among the active members; a baseline. */
@@ -9,11 +9,16 @@
 
   constructor(private readonly random: Random) {}
 
-  choose(service: string, excluded: ReadonlySet<string>): Member | undefined {
+  choose(
+    service: string,
+    excluded: ReadonlySet<string>,
+    mayChoose: MemberFilter = () => true,
+  ): Member | undefined {
     const candidates = this.list(service).filter(
       (member) =>
         member.state === MemberState.ACTIVE &&
-        !excluded.has(member.incarnation),
+        !excluded.has(member.incarnation) &&
+        mayChoose(member),
     );
     return candidates[takeInteger(this.random, candidates.length)];
   }
--- a/packages/sycamoreyoke/src/process/types.ts
+++ b/packages/sycamoreyoke/src/process/types.ts
@@ -7,6 +7,8 @@
   readonly importance: Importance;
   /** On the clock of the gate, in milliseconds. */
   readonly deadline: number;
+  /** Groups requests of like service time; the importance stands in for it. */
+  readonly requestClass?: string;
 }
 
 /** How a started request ended, as the gate needs it. */
@@ -14,6 +16,8 @@
   SUCCEEDED = 'succeeded',
   /** The upstream refused it for load. */
   SHED_BY_UPSTREAM = 'shed-by-upstream',
+  /** It failed because a call that it made was refused for load. */
+  SHED_DOWNSTREAM = 'shed-downstream',
   FAILED = 'failed',
   TIMED_OUT = 'timed-out',
   CANCELLED = 'cancelled',
@@ -43,7 +47,12 @@
 /** Decides which requests run on the upstream, and when. */
 export interface Gate {
   offer(arrival: Arrival): GateAction[];
-  finish(ticket: string, completion: Completion): GateAction[];
+  /** `childMs`: time in which the upstream waited for calls of its own. */
+  finish(
+    ticket: string,
+    completion: Completion,
+    childMs?: number,
+  ): GateAction[];
   cancel(ticket: string): GateAction[];
   tick(): GateAction[];
   readLevel(): AdmissionLevel;
@@ -78,11 +87,20 @@
   /** Announced slots of the upstream; a hint for routing. */
   readonly weight: number;
   readonly epoch: number;
+  /** Wall-clock time of the process start, by the member's own clock. */
+  readonly started?: number;
 }
 
+/** Narrows a choice, for example to members whose gate admits the request. */
+export type MemberFilter = (member: Member) => boolean;
+
 /** The router's choice of a member for a call. */
 export interface Router {
-  choose(service: string, excluded: ReadonlySet<string>): Member | undefined;
+  choose(
+    service: string,
+    excluded: ReadonlySet<string>,
+    mayChoose?: MemberFilter,
+  ): Member | undefined;
   start(incarnation: string): void;
   finish(incarnation: string, latencyMs: number, failed: boolean): void;
   update(service: string, members: readonly Member[]): void;
