--- /dev/null
+++ b/packages/bench/src/policy/eventQueue.ts
@@ -0,0 +1,36 @@
+import type {VirtualClock} from 'sycamoreyoke/clock';
+import {Heap} from 'sycamoreyoke/process/heap';
+
+interface ScheduledEvent {
+  readonly timeMs: number;
+  readonly sequence: number;
+  readonly run: () => void;
+}
+
+/** Runs events in the order of their times under a virtual clock. */
+export class EventQueue {
+  private readonly events = new Heap<ScheduledEvent>(
+    (first, second) =>
+      first.timeMs - second.timeMs || first.sequence - second.sequence,
+  );
+  private nextSequence = 0;
+
+  constructor(readonly clock: VirtualClock) {}
+
+  /** Schedules an event after a delay. */
+  schedule(delayMs: number, run: () => void): void {
+    const timeMs = this.clock.readMs() + Math.max(0, delayMs);
+    this.events.add({timeMs, sequence: this.nextSequence, run});
+    this.nextSequence += 1;
+  }
+
+  /** Runs every event up to a time; later ones are dropped. */
+  run(untilMs: number): void {
+    let event = this.events.takeFirst();
+    while (event && event.timeMs <= untilMs) {
+      this.clock.advance(event.timeMs - this.clock.readMs());
+      event.run();
+      event = this.events.takeFirst();
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/policy/idealGoodput.ts
@@ -0,0 +1,123 @@
+import type {CallNode, Deployment, RequestKind} from './types.js';
+
+/** State of the slots during a part of a run. */
+export interface Capacity {
+  readonly durationMs: number;
+  /** True slots and relative service time of each upstream of a service. */
+  readonly upstreams: ReadonlyMap<
+    string,
+    ReadonlyArray<{readonly slots: number; readonly speed: number}>
+  >;
+  readonly computeSlowdown: (service: string) => number;
+}
+
+/**
+ * Most whole requests of each kind that the slots could have served: slot time
+ * is given to the kinds from the most important down, and within one importance
+ * every kind gets the same share of its offered requests until one of its
+ * services is full.
+ */
+export function computeIdeal(
+  deployment: Deployment,
+  capacity: Capacity,
+  offered: ReadonlyMap<string, number>,
+): Map<string, number> {
+  const free = computeSlotTime(capacity);
+  const served = new Map<string, number>();
+  const levels = [
+    ...new Set(deployment.kinds.map(({importance}) => importance)),
+  ].sort((first, second) => second - first);
+  for (const level of levels) {
+    const kinds = deployment.kinds.filter(
+      ({importance}) => importance === level,
+    );
+    addLevel(deployment, capacity, kinds, offered, free, served);
+  }
+  return served;
+}
+
+function computeSlotTime(capacity: Capacity): Map<string, number> {
+  return new Map(
+    [...capacity.upstreams].map(([service, upstreams]) => [
+      service,
+      capacity.durationMs * upstreams.reduce((sum, {slots}) => sum + slots, 0),
+    ]),
+  );
+}
+
+/** Raises the share of all open kinds together until a service is full. */
+function addLevel(
+  deployment: Deployment,
+  capacity: Capacity,
+  kinds: readonly RequestKind[],
+  offered: ReadonlyMap<string, number>,
+  free: Map<string, number>,
+  served: Map<string, number>,
+): void {
+  let open = kinds.map((kind) => ({
+    kind,
+    offered: offered.get(kind.name) ?? 0,
+    demand: computeDemand(deployment, capacity, kind),
+  }));
+  let share = 0;
+  while (open.length > 0 && share < 1) {
+    const demand = new Map<string, number>();
+    for (const entry of open) {
+      for (const [service, holdMs] of entry.demand) {
+        const needMs = (demand.get(service) ?? 0) + holdMs * entry.offered;
+        demand.set(service, needMs);
+      }
+    }
+    const step = Math.min(
+      1 - share,
+      ...[...demand]
+        .filter(([, needMs]) => needMs > 0)
+        .map(([service, needMs]) => (free.get(service) ?? 0) / needMs),
+    );
+    share += step;
+    for (const [service, needMs] of demand) {
+      free.set(service, (free.get(service) ?? 0) - step * needMs);
+    }
+    for (const entry of open) {
+      served.set(entry.kind.name, share * entry.offered);
+    }
+    const isFull = (service: string): boolean =>
+      (free.get(service) ?? 0) < 1e-6 * capacity.durationMs;
+    open = open.filter((entry) => ![...entry.demand.keys()].some(isFull));
+  }
+}
+
+/** Slot time that one request takes of each service. */
+function computeDemand(
+  deployment: Deployment,
+  capacity: Capacity,
+  kind: RequestKind,
+): Map<string, number> {
+  const demand = new Map<string, number>();
+  computeHoldMs(deployment, capacity, kind.root, demand);
+  return demand;
+}
+
+/** Time that a call holds its slot when nothing waits; adds it up. */
+function computeHoldMs(
+  deployment: Deployment,
+  capacity: Capacity,
+  call: CallNode,
+  demand: Map<string, number>,
+): number {
+  const childrenMs = call.calls
+    .map((child) => computeHoldMs(deployment, capacity, child, demand))
+    .reduce((sum, holdMs) => sum + holdMs, 0);
+  const slowdown = capacity.computeSlowdown(call.service);
+  const upstreams = capacity.upstreams.get(call.service) ?? [];
+  const slots = upstreams.reduce((sum, upstream) => sum + upstream.slots, 0);
+  const ratePerMs = upstreams.reduce(
+    (sum, upstream) =>
+      sum +
+      upstream.slots / (call.ownMs * slowdown * upstream.speed + childrenMs),
+    0,
+  );
+  const holdMs = slots / ratePerMs;
+  demand.set(call.service, (demand.get(call.service) ?? 0) + holdMs);
+  return holdMs;
+}
--- /dev/null
+++ b/packages/bench/src/policy/jobs.ts
@@ -0,0 +1,80 @@
+import {DEPLOYMENTS} from './deployments.js';
+import {runModel} from './model.js';
+import type {RunSummary} from './summary.js';
+import {computeSummary} from './summary.js';
+import type {Scenario} from './types.js';
+import {MAIN_SCENARIO, WRONG_SLOTS_SCENARIO} from './types.js';
+import type {Variant} from './variants.js';
+import {LIMITER_VARIANTS, MAIN_VARIANTS, OTHER_VARIANTS} from './variants.js';
+
+export enum ScenarioName {
+  MAIN = 'main',
+  WRONG_SLOTS = 'wrong slots',
+}
+
+const SCENARIOS: Readonly<Record<ScenarioName, Scenario>> = {
+  [ScenarioName.MAIN]: MAIN_SCENARIO,
+  [ScenarioName.WRONG_SLOTS]: WRONG_SLOTS_SCENARIO,
+};
+
+const VARIANTS = [...MAIN_VARIANTS, ...LIMITER_VARIANTS, ...OTHER_VARIANTS];
+
+/** One run: all names, so that it can be sent to a worker. */
+export interface PolicyJob {
+  readonly deployment: string;
+  readonly scenario: ScenarioName;
+  readonly variant: string;
+  readonly seed: number;
+}
+
+/** Figures of one run. */
+export interface PolicyResult {
+  readonly job: PolicyJob;
+  readonly summary: RunSummary;
+  /** Violations that the gates reported. */
+  readonly violations: number;
+}
+
+/** Seeds used for the variants of one part, as opposed to both leans. */
+const VARIANT_SEEDS = 2;
+
+/** All runs of the measurement. */
+export function createJobs(seeds: readonly number[]): PolicyJob[] {
+  const leans = MAIN_VARIANTS.slice(0, 2);
+  const fewer = seeds.slice(0, VARIANT_SEEDS);
+  return [
+    ...createCases(MAIN_VARIANTS, ScenarioName.MAIN, seeds),
+    ...createCases(LIMITER_VARIANTS, ScenarioName.MAIN, fewer),
+    ...createCases(OTHER_VARIANTS, ScenarioName.MAIN, fewer),
+    ...createCases(leans, ScenarioName.WRONG_SLOTS, fewer),
+    ...createCases(LIMITER_VARIANTS, ScenarioName.WRONG_SLOTS, fewer),
+  ];
+}
+
+function createCases(
+  variants: readonly Variant[],
+  scenario: ScenarioName,
+  seeds: readonly number[],
+): PolicyJob[] {
+  return variants.flatMap(({name: variant}) =>
+    DEPLOYMENTS.flatMap(({name: deployment}) =>
+      seeds.map((seed) => ({deployment, scenario, variant, seed})),
+    ),
+  );
+}
+
+/** Runs one job. */
+export function runJob(job: PolicyJob): PolicyResult {
+  const deployment = DEPLOYMENTS.find(({name}) => name === job.deployment);
+  const variant = VARIANTS.find(({name}) => name === job.variant);
+  if (!deployment || !variant) {
+    throw new Error(`unknown job: ${JSON.stringify(job)}`);
+  }
+  const scenario = SCENARIOS[job.scenario];
+  let violations = 0;
+  const run = runModel(deployment, scenario, variant, job.seed, () => {
+    violations += 1;
+  });
+  const summary = computeSummary(deployment, scenario, run);
+  return {job, summary, violations};
+}
--- /dev/null
+++ b/packages/bench/src/policy/runPolicy.ts
@@ -0,0 +1,75 @@
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {Worker} from 'node:worker_threads';
+import {DEPLOYMENTS} from './deployments.js';
+import type {PolicyJob, PolicyResult} from './jobs.js';
+import {ScenarioName, createJobs} from './jobs.js';
+import {renderPlot} from './plot.js';
+import {renderReport} from './report.js';
+
+const RESULTS = 'results/policy';
+/** Runs at once; each takes one core and up to 500 MB. */
+const WORKERS = 6;
+const SEEDS = [1, 2, 3];
+
+/**
+ * Runs the policy measurement. Flags: `--seeds 1,2,3`, and `--only TEXT` for
+ * the variants whose name contains the text.
+ */
+export async function runMeasurement(flags: readonly string[]): Promise<void> {
+  const seeds = readFlag(flags, '--seeds')?.split(',').map(Number) ?? SEEDS;
+  const only = readFlag(flags, '--only') ?? '';
+  const jobs = createJobs(seeds).filter(({variant}) => variant.includes(only));
+  const results = sortResults(jobs, await runJobs(jobs));
+  mkdirSync(RESULTS, {recursive: true});
+  const report = renderReport(results);
+  writeFileSync(`${RESULTS}/policy.md`, report);
+  writeFileSync(`${RESULTS}/policy.json`, JSON.stringify(results));
+  for (const {name} of DEPLOYMENTS) {
+    const shown = results.filter(
+      ({job}) => job.deployment === name && job.scenario === ScenarioName.MAIN,
+    );
+    const file = `${RESULTS}/${name.toLowerCase()}.svg`;
+    writeFileSync(file, renderPlot(name, shown));
+  }
+  console.log(report);
+}
+
+function readFlag(flags: readonly string[], name: string): string | undefined {
+  const index = flags.indexOf(name);
+  return index < 0 ? undefined : flags[index + 1];
+}
+
+async function runJobs(jobs: readonly PolicyJob[]): Promise<PolicyResult[]> {
+  const results: PolicyResult[] = [];
+  const queue = [...jobs];
+  const runNext = async (): Promise<void> => {
+    for (let job = queue.shift(); job; job = queue.shift()) {
+      results.push(await runInWorker(job));
+      console.error(`${results.length}/${jobs.length} ${job.variant}`);
+    }
+  };
+  await Promise.all(Array.from({length: WORKERS}, runNext));
+  return results;
+}
+
+/** Workers finish in any order; the report has that of the jobs. */
+function sortResults(
+  jobs: readonly PolicyJob[],
+  results: readonly PolicyResult[],
+): PolicyResult[] {
+  const order = new Map(
+    jobs.map((job, index) => [JSON.stringify(job), index] as const),
+  );
+  const getIndex = ({job}: PolicyResult): number =>
+    order.get(JSON.stringify(job)) ?? 0;
+  return [...results].sort((a, b) => getIndex(a) - getIndex(b));
+}
+
+function runInWorker(job: PolicyJob): Promise<PolicyResult> {
+  return new Promise((resolve, reject) => {
+    const file = new URL('./policyWorker.js', import.meta.url);
+    const worker = new Worker(file, {workerData: job});
+    worker.once('message', resolve);
+    worker.once('error', reject);
+  });
+}
--- /dev/null
+++ b/packages/bench/src/policy/summary.ts
@@ -0,0 +1,100 @@
+import {computeIdeal} from './idealGoodput.js';
+import type {ModelRun} from './model.js';
+import {getSpeed} from './model.js';
+import {BIN_MS} from './runCounts.js';
+import type {Deployment, Scenario} from './types.js';
+
+/** A bin counts as recovered when this share of its requests is answered. */
+const RECOVERED_SHARE = 0.95;
+
+/** Figures of one run. */
+export interface RunSummary {
+  /** Whole requests served during the trigger, of those possible. */
+  readonly goodputShare: number;
+  readonly goodputByKind: ReadonlyMap<string, number>;
+  readonly idealByKind: ReadonlyMap<string, number>;
+  readonly recoveryMs: number;
+  readonly mostNodeRetries: number;
+  readonly mostStarts: number;
+  readonly wastedShare: number;
+  readonly criticalShed: number;
+  readonly earlyRefusals: number;
+  readonly servedBins: readonly number[];
+  readonly offeredBins: readonly number[];
+}
+
+/** Computes the figures of a run. */
+export function computeSummary(
+  deployment: Deployment,
+  scenario: Scenario,
+  run: ModelRun,
+): RunSummary {
+  const {counts} = run;
+  const ideal = computeTriggerIdeal(deployment, scenario, run);
+  const sum = (values: Iterable<number>): number =>
+    [...values].reduce((total, value) => total + value, 0);
+  const slotMs = counts.usefulSlotMs + counts.wastedSlotMs;
+  return {
+    goodputShare: sum(counts.servedInTrigger.values()) / sum(ideal.values()),
+    goodputByKind: new Map(
+      deployment.kinds.map(({name}) => [
+        name,
+        (counts.servedInTrigger.get(name) ?? 0) /
+          (counts.offeredInTrigger.get(name) ?? 1),
+      ]),
+    ),
+    idealByKind: new Map(
+      deployment.kinds.map(({name}) => [
+        name,
+        (ideal.get(name) ?? 0) / (counts.offeredInTrigger.get(name) ?? 1),
+      ]),
+    ),
+    recoveryMs: computeRecoveryMs(scenario, run),
+    mostNodeRetries: counts.mostNodeRetries,
+    mostStarts: counts.mostStarts,
+    wastedShare: counts.wastedSlotMs / slotMs,
+    criticalShed: counts.criticalShed,
+    earlyRefusals: counts.earlyRefusals,
+    servedBins: counts.servedBins,
+    offeredBins: counts.offeredBins,
+  };
+}
+
+function computeTriggerIdeal(
+  deployment: Deployment,
+  scenario: Scenario,
+  {counts}: ModelRun,
+): Map<string, number> {
+  return computeIdeal(
+    deployment,
+    {
+      durationMs: scenario.triggerEndMs - scenario.triggerStartMs,
+      upstreams: new Map(
+        deployment.services.map(({name, upstreams, slots}) => [
+          name,
+          Array.from({length: upstreams}, (_, index) => ({
+            slots,
+            speed: getSpeed(index),
+          })),
+        ]),
+      ),
+      computeSlowdown: (service) =>
+        service === deployment.slowService ? scenario.slowdown : 1,
+    },
+    counts.offeredInTrigger,
+  );
+}
+
+/** Time from the end of the trigger to the end of the last poor bin. */
+function computeRecoveryMs(scenario: Scenario, {counts}: ModelRun): number {
+  const last = Math.floor(scenario.endMs / BIN_MS) - 1;
+  const first = scenario.triggerEndMs / BIN_MS;
+  for (let index = last; index >= first; index -= 1) {
+    const offered = counts.offeredBins[index] ?? 0;
+    const answered = counts.answeredBins[index] ?? 0;
+    if (answered < RECOVERED_SHARE * offered) {
+      return (index + 1) * BIN_MS - scenario.triggerEndMs;
+    }
+  }
+  return 0;
+}
