--- a/packages/sycamoreyoke/src/process/admissionEstimate.ts
+++ b/packages/sycamoreyoke/src/process/admissionEstimate.ts
@@ -9,6 +9,9 @@
 /** Period in which the count of starts fades to a third. */
 const START_FADE_MS = 300;
 
+/** An importance counts as starved this long after a request expired. */
+const STARVED_MS = 2_000;
+
 /** State of a gate's queue. */
 export interface QueueState {
   readonly nowMs: number;
@@ -24,13 +27,14 @@
   slackMs: number | undefined;
   starts: number;
   startedMs: number;
+  expiredMs: number;
 }
 
 /** Estimates how long a request of each importance would wait. */
 export class AdmissionEstimate {
   private readonly observed: readonly Observed[] = Array.from(
     {length: Importance.CRITICAL + 1},
-    () => ({slackMs: undefined, starts: 0, startedMs: 0}),
+    () => ({slackMs: undefined, starts: 0, startedMs: 0, expiredMs: -Infinity}),
   );
 
   /** Takes note of the time that an arrival can spare. */
@@ -49,20 +53,24 @@
     observed.startedMs = nowMs;
   }
 
+  /** Takes note of a request that waited in vain. */
+  observeExpiry(importance: Importance, nowMs: number): void {
+    this.get(importance).expiredMs = nowMs;
+  }
+
   /**
-   * The longer of two estimates: the requests ahead at the rate of all starts,
-   * and those of the same importance at the rate of their own starts. The first
-   * misses that more important requests keep arriving; the second is slow to
-   * see a burst.
+   * The requests ahead at the rate of all starts. Where requests have expired,
+   * that misses that more important ones keep arriving; then also those of the
+   * same importance at the rate of their own starts.
    */
   computeWaitMs(importance: Importance, state: QueueState): number {
     const waiting = state.waitingByImportance[importance] ?? 0;
-    if (waiting === 0) return this.computeAheadMs(importance, state);
-    const starts = computeStarts(this.get(importance), state.nowMs);
-    return Math.max(
-      this.computeAheadMs(importance, state),
-      (waiting * START_FADE_MS) / starts,
-    );
+    const observed = this.get(importance);
+    const aheadMs = this.computeAheadMs(importance, state);
+    const isStarved = state.nowMs - observed.expiredMs < STARVED_MS;
+    if (waiting === 0 || !isStarved) return aheadMs;
+    const starts = computeStarts(observed, state.nowMs);
+    return Math.max(aheadMs, (waiting * START_FADE_MS) / starts);
   }
 
   /**
--- a/packages/sycamoreyoke/src/process/downstreamThrottle.ts
+++ b/packages/sycamoreyoke/src/process/downstreamThrottle.ts
@@ -1,5 +1,8 @@
-/** Period in which the counts fade to a third. */
-const FADE_MS = 300;
+/**
+ * Period in which the counts fade to a third. With 300 the share of a kind took
+ * 5 s to grow back after the refusals ended.
+ */
+const FADE_MS = 150;
 /** Share of a kind that is admitted however often its calls are refused. */
 const LOWEST_SHARE = 0.02;
 /** Counts too small to judge by. */
--- a/packages/sycamoreyoke/src/process/gate.ts
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -138,7 +138,7 @@
       this.removeWaiting(request);
       actions.push(
         this.isHopeless(request, nowMs)
-          ? this.createRefusal(request.arrival, RefusalReason.DEADLINE)
+          ? this.expire(request.arrival, RefusalReason.DEADLINE, nowMs)
           : this.start(request.arrival, nowMs),
       );
     }
@@ -181,7 +181,7 @@
           const reason = this.chooseExpiry(request, nowMs);
           if (!reason) break;
           this.removeWaiting(request);
-          actions.push(this.createRefusal(request.arrival, reason));
+          actions.push(this.expire(request.arrival, reason, nowMs));
           request = readEnd();
         }
       }
@@ -189,6 +189,15 @@
     return actions;
   }
 
+  private expire(
+    arrival: Arrival,
+    reason: RefusalReason,
+    nowMs: number,
+  ): GateAction {
+    this.estimate.observeExpiry(arrival.importance, nowMs);
+    return this.createRefusal(arrival, reason);
+  }
+
   private chooseExpiry(
     request: WaitingRequest,
     nowMs: number,
--- a/packages/sycamoreyoke/src/process/latencyWindow.ts
+++ b/packages/sycamoreyoke/src/process/latencyWindow.ts
@@ -28,12 +28,14 @@
   readonly openedMs: number;
   readonly kinds: Map<string, KindLatency>;
   count: number;
+  /** Time that the requests held their slots, calls of their own included. */
+  heldMs: number;
   /** Samples taken while the limit was in use. */
   saturated: number;
 }
 
 export function createWindow(openedMs: number): LatencyWindow {
-  return {openedMs, kinds: new Map(), count: 0, saturated: 0};
+  return {openedMs, kinds: new Map(), count: 0, heldMs: 0, saturated: 0};
 }
 
 /** Adds a request that ran to its end; others say nothing about latency. */
@@ -43,7 +45,9 @@
   isSaturated: boolean,
 ): void {
   if (sample.completion !== Completion.SUCCEEDED) return;
-  const ownMs = sample.finishedMs - sample.startedMs - sample.childMs;
+  const heldMs = sample.finishedMs - sample.startedMs;
+  const ownMs = heldMs - sample.childMs;
+  window.heldMs += heldMs;
   const known = window.kinds.get(sample.kind) ?? {count: 0, sumMs: 0};
   known.count += 1;
   known.sumMs += Math.max(0, ownMs);
@@ -64,21 +68,34 @@
   );
 }
 
+/** Own time in a window, compared with earlier means. */
+export interface LatencyComparison {
+  /** Own time as a multiple of the earlier means. */
+  readonly stretch: number;
+  /** Own time beyond the earlier means, as a share of the time held. */
+  readonly excessShare: number;
+}
+
 /**
- * Own time in the window relative to earlier means. Compared kind by kind, so
- * that a change of the mix does not look like a change of latency.
+ * Compares kind by kind, so that a change of the mix does not look like a
+ * change of latency.
  */
-export function computeStretch(
+export function compareLatency(
   window: LatencyWindow,
   means: MeanTimes,
-): number {
-  let sumMs = 0;
+): LatencyComparison {
+  let ownMs = 0;
   let expectedMs = 0;
   for (const [kind, latency] of window.kinds) {
     const meanMs = means.get(kind);
     if (meanMs === undefined) continue;
-    sumMs += latency.sumMs;
+    ownMs += latency.sumMs;
     expectedMs += latency.count * meanMs;
   }
-  return expectedMs === 0 ? 1 : sumMs / expectedMs;
+  if (expectedMs === 0) return {stretch: 1, excessShare: 0};
+  const excessMs = Math.max(0, ownMs - expectedMs);
+  return {
+    stretch: ownMs / expectedMs,
+    excessShare: excessMs / Math.max(window.heldMs, 1),
+  };
 }
--- a/packages/sycamoreyoke/src/process/limiter.ts
+++ b/packages/sycamoreyoke/src/process/limiter.ts
@@ -1,8 +1,8 @@
 import type {LatencySample, LatencyWindow} from './latencyWindow.js';
 import {
   addSample,
+  compareLatency,
   computeMeans,
-  computeStretch,
   createWindow,
   isComplete,
 } from './latencyWindow.js';
@@ -97,7 +97,7 @@
     this.window ??= createWindow(sample.finishedMs);
     addSample(this.window, sample, isSaturated(sample, this.limit));
     if (!isComplete(this.window, sample.finishedMs)) return;
-    const stretch = computeStretch(this.window, this.longTerm);
+    const {stretch} = compareLatency(this.window, this.longTerm);
     const isLimited = this.window.saturated > this.window.count / 2;
     updateMeans(this.longTerm, computeMeans(this.window), LONG_TERM_WEIGHT);
     this.window = createWindow(sample.finishedMs);
@@ -113,25 +113,23 @@
 }
 
 /** Own time above the baseline by this factor calls for a trial. */
-const TRIAL_TOLERANCE = 1.3;
-/** Factor of the limit during a trial. */
-const TRIAL_FACTOR = 0.7;
-/**
- * Own time below this share of the earlier one shows that requests queued.
- * Two windows of 100 samples differ by chance by a tenth; a false pass costs
- * throughput, a false failure only a later trial.
- */
-const TRIAL_PASS_STRETCH = 0.8;
+const TRIAL_TOLERANCE = 1.4;
+/** Lowest factor of the limit during a trial. */
+const LOWEST_TRIAL_FACTOR = 0.7;
+/** A trial passes when less than this share of the excess is left. */
+const TRIAL_PASS_SHARE = 0.5;
 /** Factor of the limit after a window at the limit with normal latency. */
 const GROWTH_FACTOR = 1.05;
-/** Weight of a window in a baseline that falls, and in one that rises. */
+/** Own time this close to the baseline differs by chance. */
+const NOISE_MARGIN = 0.15;
+/** Weight of a window in a baseline that falls, and otherwise. */
 const BASELINE_FALL_WEIGHT = 0.3;
-const BASELINE_RISE_WEIGHT = 0.1;
+const BASELINE_WEIGHT = 0.1;
 
 enum TrialPhase {
   /** Nothing is tried. */
   NONE,
-  /** Latency rose; a second window confirms it and is the reference. */
+  /** Own time rose; a second window has to confirm it. */
   CONFIRM,
   /** The lower limit is in force. */
   LOWERED,
@@ -149,7 +147,7 @@
   private limitBefore: number;
   private phase = TrialPhase.NONE;
   private readonly baseline = new Map<string, number>();
-  private reference: ReadonlyMap<string, number> = new Map();
+  private stretchBefore = 1;
   private window: LatencyWindow | undefined;
   private decreasedMs = -Infinity;
 
@@ -189,7 +187,7 @@
 
   private applyWindow(window: LatencyWindow): void {
     const isLimited = window.saturated > window.count / 2;
-    const stretch = computeStretch(window, this.baseline);
+    const {stretch, excessShare} = compareLatency(window, this.baseline);
     this.updateBaseline(window, stretch, isLimited);
     if (!isLimited) {
       this.phase = TrialPhase.NONE;
@@ -199,20 +197,28 @@
     } else if (this.phase === TrialPhase.NONE) {
       this.phase = TrialPhase.CONFIRM;
     } else {
-      this.startTrial(window);
+      this.startTrial(stretch, excessShare);
     }
   }
 
-  private startTrial(window: LatencyWindow): void {
+  /**
+   * Lowers the limit to the slots that there are if the excess is queueing: the
+   * share of the time held that a request spends in the upstream's queue is the
+   * share of the limit that waits there.
+   */
+  private startTrial(stretch: number, excessShare: number): void {
     this.phase = TrialPhase.LOWERED;
-    this.reference = computeMeans(window);
+    this.stretchBefore = stretch;
     this.limitBefore = this.limit;
-    this.setLimit(this.limit * TRIAL_FACTOR);
+    this.setLimit(this.limit * Math.max(LOWEST_TRIAL_FACTOR, 1 - excessShare));
   }
 
   private finishTrial(window: LatencyWindow): void {
     this.phase = TrialPhase.NONE;
-    if (computeStretch(window, this.reference) < TRIAL_PASS_STRETCH) return;
+    const {stretch} = compareLatency(window, this.baseline);
+    const isQueueing =
+      stretch - 1 < TRIAL_PASS_SHARE * (this.stretchBefore - 1);
+    if (isQueueing) return;
     this.setLimit(this.limitBefore);
     updateMeans(this.baseline, computeMeans(window), 1);
   }
@@ -222,11 +228,8 @@
     stretch: number,
     isLimited: boolean,
   ): void {
-    const means = computeMeans(window);
-    if (stretch < 1) updateMeans(this.baseline, means, BASELINE_FALL_WEIGHT);
-    // At the limit a higher own time is what the baseline is compared with.
-    else
-      updateMeans(this.baseline, means, isLimited ? 0 : BASELINE_RISE_WEIGHT);
+    const weight = chooseBaselineWeight(stretch, isLimited);
+    updateMeans(this.baseline, computeMeans(window), weight);
   }
 
   private setLimit(limit: number): void {
@@ -238,6 +241,16 @@
 export const createDefaultLimiter: LimiterFactory = (slots) =>
   new TrialLimiter(slots);
 
+/**
+ * Within the noise the baseline moves both ways alike; if it followed only the
+ * falls, it would sink and call for trial after trial. At the limit a clearly
+ * longer own time is what the baseline is compared with, and does not move it.
+ */
+function chooseBaselineWeight(stretch: number, isLimited: boolean): number {
+  if (stretch < 1 - NOISE_MARGIN) return BASELINE_FALL_WEIGHT;
+  return isLimited && stretch > 1 + NOISE_MARGIN ? 0 : BASELINE_WEIGHT;
+}
+
 function isSaturated(sample: LimitSample, limit: number): boolean {
   return sample.running >= Math.floor(limit) * SATURATED_SHARE;
 }
