Fit the router to the member records of the membership

Change: a member's age comes from startedMs on the reader's own clock; the groups of the router are memberGroups.

--- a/packages/bench/src/policy/gateHost.ts
+++ b/packages/bench/src/policy/gateHost.ts
@@ -150,6 +150,6 @@
     state: MemberState.ACTIVE,
     weight,
     epoch: 0,
-    started: -60_000,
+    startedMs: -60_000,
   };
 }
--- a/packages/sycamoreyoke/src/process/memberTable.ts
+++ b/packages/sycamoreyoke/src/process/memberTable.ts
@@ -1,50 +1,344 @@
+/** Members of one service, and which of two statements about one wins. */
 import type {Random} from '../random.js';
 import {takeInteger} from '../random.js';
-import type {Member, MemberFilter} from './types.js';
+import {CHANGE_LOG_LENGTH, HASH_BUCKETS} from './constants.js';
+import type {MemberUpdate} from './membershipMessages.js';
+import type {Member} from './types.js';
 import {MemberState} from './types.js';
 
-/** Random draws before the members are scanned. */
-const DRAWS = 4;
-/** Members that a scan looks at, which bounds the time of a choice. */
-const SCANNED = 64;
-
-/** Draws a random member that passes; undefined when none was found. */
-export function chooseRandomMember(
-  random: Random,
-  members: readonly Member[],
-  isAllowed: MemberFilter,
-): Member | undefined {
-  if (members.length === 0) return undefined;
-  let index = 0;
-  for (let draw = 0; draw < DRAWS; draw += 1) {
-    index = takeInteger(random, members.length);
-    const member = members[index];
-    if (member && isAllowed(member)) return member;
-  }
-  const scanned = Math.min(SCANNED, members.length);
-  for (let step = 1; step <= scanned; step += 1) {
-    const member = members[(index + step) % members.length];
-    if (member && isAllowed(member)) return member;
-  }
-  return undefined;
-}
-
-/** Members of one service that may get work, by nearness. */
-export interface MemberGroups {
-  readonly all: readonly Member[];
-  readonly near: readonly Member[];
-  readonly far: readonly Member[];
-}
-
-/** Keeps the ACTIVE members, and apart those of the own data centre. */
-export function splitMembers(
-  members: readonly Member[],
-  dataCentre: string,
-): MemberGroups {
-  const active = members.filter(({state}) => state === MemberState.ACTIVE);
-  return {
-    all: members,
-    near: active.filter((member) => member.dataCentre === dataCentre),
-    far: active.filter((member) => member.dataCentre !== dataCentre),
-  };
+/** States of members that this process has no record of, at most. */
+const MAX_UNMATCHED = 4_096;
+/** Up to this size all members are considered in a random choice. */
+const SMALL_TABLE = 64;
+
+const RANKS: Readonly<Record<MemberState, number>> = {
+  [MemberState.JOINING]: 0,
+  [MemberState.ACTIVE]: 1,
+  [MemberState.SUSPECT]: 2,
+  [MemberState.LEAVING]: 4,
+  [MemberState.DEAD]: 5,
+};
+
+/** What became of an update. */
+export enum MergeResult {
+  ADOPTED = 'adopted',
+  /** Not newer than what the table holds. */
+  KNOWN = 'known',
+  /** Observed by others; to be verified by a probe of this process. */
+  UNVERIFIED = 'unverified',
+  /** Kept until the record of the member arrives. */
+  UNMATCHED = 'unmatched',
+}
+
+/** The member is out of the service for good, as far as is known. */
+export function isGone(state: MemberState): boolean {
+  return state === MemberState.LEAVING || state === MemberState.DEAD;
+}
+
+/** The state was observed by others, not stated by the member. */
+export function isAccusation(
+  update: Pick<MemberUpdate, 'state' | 'observer'>,
+): boolean {
+  const isNegative =
+    update.state === MemberState.SUSPECT || update.state === MemberState.DEAD;
+  return isNegative && update.observer !== '';
+}
+
+/** Orders two statements about one incarnation; positive when a wins. */
+export function comparePrecedence(
+  a: Pick<MemberUpdate, 'counter' | 'state' | 'observer'>,
+  b: Pick<MemberUpdate, 'counter' | 'state' | 'observer'>,
+): number {
+  return a.counter - b.counter || computeRank(a) - computeRank(b);
+}
+
+/** An observed suspicion outranks the member's own "not ready". */
+function computeRank(update: Pick<MemberUpdate, 'state' | 'observer'>): number {
+  const isObservedSuspicion =
+    update.state === MemberState.SUSPECT && update.observer !== '';
+  return RANKS[update.state] + (isObservedSuspicion ? 1 : 0);
+}
+
+/** FNV-1a with a final mix. */
+export function hashText(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+  }
+  hash ^= hash >>> 15;
+  hash = Math.imul(hash, 0x2c1b3c6d);
+  return (hash ^ (hash >>> 12)) >>> 0;
+}
+
+interface Entry {
+  member: Member;
+  observer: string;
+  changedMs: number;
+  /** Index in the order of the table. */
+  position: number;
+}
+
+/** Members of a service as this process knows them. */
+export class MemberTable {
+  private readonly entries = new Map<string, Entry>();
+  /** Incarnations for random choice; a removed one is replaced by the last. */
+  private readonly order: string[] = [];
+  private readonly unmatched = new Map<string, MemberUpdate>();
+  private readonly bucketHashes = new Uint32Array(HASH_BUCKETS);
+  private readonly sharedStrings = new Map<string, string>();
+  private changes: string[] = [];
+  private changesBefore = 0;
+
+  /** @param trusts whether an accusation by that data centre is adopted. */
+  constructor(private readonly trusts: (observer: string) => boolean) {}
+
+  /** Sequence number of the latest change. */
+  get sequence(): number {
+    return this.changesBefore + this.changes.length;
+  }
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /** Merges a statement; the highest counter, then the highest rank, wins. */
+  apply(update: MemberUpdate, nowMs: number): MergeResult {
+    const current = this.entries.get(update.incarnation);
+    if (!current) return this.add(update, nowMs);
+    const known = readStatement(current);
+    if (comparePrecedence(update, known) <= 0) return MergeResult.KNOWN;
+    if (isAccusation(update) && !this.trusts(update.observer)) {
+      const isAgreed = isGone(known.state) && known.counter === update.counter;
+      return isAgreed ? MergeResult.KNOWN : MergeResult.UNVERIFIED;
+    }
+    this.store(update, current.member, nowMs);
+    return MergeResult.ADOPTED;
+  }
+
+  find(incarnation: string): Member | undefined {
+    return this.entries.get(incarnation)?.member;
+  }
+
+  /** The statement that the table holds of a member. */
+  findUpdate(incarnation: string): MemberUpdate | undefined {
+    const entry = this.entries.get(incarnation);
+    return entry && readStatement(entry);
+  }
+
+  list(): Member[] {
+    return [...this.entries.values()].map((entry) => entry.member);
+  }
+
+  listIncarnations(): IterableIterator<string> {
+    return this.entries.keys();
+  }
+
+  listUpdates(): MemberUpdate[] {
+    return [...this.entries.values()].map(readRecord);
+  }
+
+  /** Changes after a sequence; undefined when they are no longer known. */
+  listSince(sequence: number): MemberUpdate[] | undefined {
+    if (sequence < this.changesBefore || sequence > this.sequence) {
+      return undefined;
+    }
+    const changed = new Set(this.changes.slice(sequence - this.changesBefore));
+    return this.readRecords(changed);
+  }
+
+  /**
+   * Members in the parts of the table whose hash differs from the given, and
+   * that have changed since the time.
+   */
+  listDifferences(
+    bucketHashes: readonly number[],
+    sinceMs: number,
+  ): MemberUpdate[] {
+    const differs = this.readBucketHashes().map(
+      (hash, bucket) => hash !== bucketHashes[bucket],
+    );
+    const updates: MemberUpdate[] = [];
+    for (const entry of this.entries.values()) {
+      if (entry.changedMs < sinceMs) continue;
+      if (!differs[findBucket(entry.member.incarnation)]) continue;
+      updates.push(readRecord(entry));
+    }
+    return updates;
+  }
+
+  readBucketHashes(): number[] {
+    return [...this.bucketHashes];
+  }
+
+  /**
+   * Hash of the counters of the members that are not DEAD. A member raises
+   * its counter with each statement; suspicion by others is left out, since
+   * it differs between data centres that a cut separates.
+   */
+  readHash(): number {
+    let hash = 0;
+    for (const bucketHash of this.bucketHashes) {
+      hash = (Math.imul(hash, 31) + bucketHash) >>> 0;
+    }
+    return hash;
+  }
+
+  /** Drops members that have been LEAVING or DEAD since before the time. */
+  expire(beforeMs: number): void {
+    for (const [incarnation, entry] of this.entries) {
+      if (!isGone(entry.member.state) || entry.changedMs >= beforeMs) continue;
+      this.updateHash(entry.member);
+      this.remove(incarnation, entry);
+    }
+  }
+
+  /** Random members that the condition accepts, each at most once. */
+  chooseRandom(
+    count: number,
+    random: Random,
+    accepts: (member: Member) => boolean,
+  ): Member[] {
+    const chosen = new Set<Member>();
+    const isSmall = this.order.length <= SMALL_TABLE;
+    const pool = isSmall ? sortRandomly(this.order, random) : undefined;
+    const tries = pool?.length ?? 4 * count + SMALL_TABLE;
+    for (let index = 0; index < tries && chosen.size < count; index += 1) {
+      const key = pool
+        ? pool[index]
+        : this.order[takeInteger(random, this.order.length)];
+      const member = key === undefined ? undefined : this.find(key);
+      if (member && accepts(member)) chosen.add(member);
+    }
+    return [...chosen];
+  }
+
+  private remove(incarnation: string, entry: Entry): void {
+    this.entries.delete(incarnation);
+    const last = this.order.pop();
+    if (last === undefined || last === incarnation) return;
+    this.order[entry.position] = last;
+    const moved = this.entries.get(last);
+    if (moved) moved.position = entry.position;
+  }
+
+  private add(update: MemberUpdate, nowMs: number): MergeResult {
+    if (!update.record) {
+      this.addUnmatched(update);
+      return MergeResult.UNMATCHED;
+    }
+    const isTrusted = !isAccusation(update) || this.trusts(update.observer);
+    const statement = isTrusted
+      ? update
+      : {...update, state: MemberState.ACTIVE, observer: ''};
+    this.store(statement, this.createRecord(update.record), nowMs);
+    const later = this.unmatched.get(update.incarnation);
+    this.unmatched.delete(update.incarnation);
+    if (later) this.apply(later, nowMs);
+    return isTrusted ? MergeResult.ADOPTED : MergeResult.UNVERIFIED;
+  }
+
+  private addUnmatched(update: MemberUpdate): void {
+    const earlier = this.unmatched.get(update.incarnation);
+    if (earlier && comparePrecedence(update, earlier) <= 0) return;
+    const isUntrusted = isAccusation(update) && !this.trusts(update.observer);
+    if (isUntrusted) return;
+    if (this.unmatched.size >= MAX_UNMATCHED) this.unmatched.clear();
+    this.unmatched.set(update.incarnation, update);
+  }
+
+  private store(update: MemberUpdate, known: Member, nowMs: number): void {
+    const previous = this.entries.get(update.incarnation);
+    if (previous) this.updateHash(previous.member);
+    const fields = update.record ? this.createRecord(update.record) : known;
+    const member =
+      fields.counter === update.counter && fields.state === update.state
+        ? fields
+        : {...fields, counter: update.counter, state: update.state};
+    const observer = this.readShared(update.observer);
+    if (previous) {
+      previous.member = member;
+      previous.observer = observer;
+      previous.changedMs = nowMs;
+    } else {
+      this.entries.set(update.incarnation, {
+        member,
+        observer,
+        changedMs: nowMs,
+        position: this.order.length,
+      });
+      this.order.push(update.incarnation);
+    }
+    this.updateHash(member);
+    this.addChange(update.incarnation);
+  }
+
+  private addChange(incarnation: string): void {
+    this.changes.push(incarnation);
+    if (this.changes.length < 2 * CHANGE_LOG_LENGTH) return;
+    this.changesBefore += CHANGE_LOG_LENGTH;
+    this.changes = this.changes.slice(CHANGE_LOG_LENGTH);
+  }
+
+  private readRecords(incarnations: Iterable<string>): MemberUpdate[] {
+    const updates: MemberUpdate[] = [];
+    for (const incarnation of incarnations) {
+      const entry = this.entries.get(incarnation);
+      if (entry) updates.push(readRecord(entry));
+    }
+    return updates;
+  }
+
+  /** Adds the member to the hash, or takes it out when it is in. */
+  private updateHash(member: Member): void {
+    if (member.state === MemberState.DEAD) return;
+    const hash = hashText(member.incarnation);
+    const mixed = Math.imul(hash, 2 * member.counter + 1);
+    const bucket = hash % HASH_BUCKETS;
+    this.bucketHashes[bucket] = (this.bucketHashes[bucket] ?? 0) ^ mixed;
+  }
+
+  /** One copy of the strings that all members of a service have in common. */
+  private createRecord(record: Member): Member {
+    const service = this.readShared(record.service);
+    const dataCentre = this.readShared(record.dataCentre);
+    const region = this.readShared(record.region);
+    const isShared =
+      service === record.service &&
+      dataCentre === record.dataCentre &&
+      region === record.region;
+    return isShared ? record : {...record, service, dataCentre, region};
+  }
+
+  private readShared(text: string): string {
+    const shared = this.sharedStrings.get(text);
+    if (shared !== undefined) return shared;
+    this.sharedStrings.set(text, text);
+    return text;
+  }
+}
+
+function sortRandomly(items: readonly string[], random: Random): string[] {
+  const shuffled = [...items];
+  for (let index = shuffled.length - 1; index > 0; index -= 1) {
+    const other = takeInteger(random, index + 1);
+    const item = shuffled[index] ?? '';
+    shuffled[index] = shuffled[other] ?? '';
+    shuffled[other] = item;
+  }
+  return shuffled;
+}
+
+function findBucket(incarnation: string): number {
+  return hashText(incarnation) % HASH_BUCKETS;
+}
+
+function readStatement({member, observer}: Entry): MemberUpdate {
+  const {incarnation, counter, state} = member;
+  return {incarnation, counter, state, observer};
+}
+
+/** A record is of no use to readers that never call the member. */
+function readRecord(entry: Entry): MemberUpdate {
+  if (entry.member.state === MemberState.LEAVING) return readStatement(entry);
+  return {...readStatement(entry), record: entry.member};
 }
--- a/packages/sycamoreyoke/src/process/router.test.ts
+++ b/packages/sycamoreyoke/src/process/router.test.ts
@@ -21,7 +21,7 @@
     state: MemberState.ACTIVE,
     weight: 10,
     epoch: 0,
-    started: -60_000,
+    startedMs: -60_000,
     ...change,
   };
 }
@@ -148,7 +148,7 @@
   const clock = new VirtualClock();
   const router = createRouter(5, clock);
   const members = Array.from({length: 10}, (_, index) =>
-    createMember(index, index === 0 ? {started: 0} : {}),
+    createMember(index, index === 0 ? {startedMs: 0} : {}),
   );
   router.update('tracking', members);
   const countCold = (): number =>
--- a/packages/sycamoreyoke/src/process/router.ts
+++ b/packages/sycamoreyoke/src/process/router.ts
@@ -3,8 +3,8 @@
 import {COLD_START_MS} from './constants.js';
 import type {MemberLoad} from './memberLoad.js';
 import {applyResult, computeExpectedWaitMs, createLoad} from './memberLoad.js';
-import type {MemberGroups} from './memberTable.js';
-import {chooseRandomMember, splitMembers} from './memberTable.js';
+import type {MemberGroups} from './memberGroups.js';
+import {chooseRandomMember, splitMembers} from './memberGroups.js';
 import type {Member, MemberFilter, Router} from './types.js';
 
 /** Latency assumed of a member without observations. */
@@ -130,9 +130,7 @@
     const seenMs = load ? clock.readMs() - load.seenMs : 0;
     if (seenMs >= COLD_START_MS) return 1;
     const announcedMs =
-      member.started === undefined
-        ? 0
-        : clock.readDate().getTime() - member.started;
+      member.startedMs === undefined ? 0 : clock.readMs() - member.startedMs;
     const ageMs = Math.max(seenMs, announcedMs);
     return Math.min(1, Math.max(COLDEST_SHARE, ageMs / COLD_START_MS));
   }
--- a/packages/sycamoreyoke/src/process/types.ts
+++ b/packages/sycamoreyoke/src/process/types.ts
@@ -87,8 +87,8 @@
   /** Announced slots of the upstream; a hint for routing. */
   readonly weight: number;
   readonly epoch: number;
-  /** Wall-clock time of the process start, by the member's own clock. */
-  readonly started?: number;
+  /** Start of the process on the reader's own clock, from its age on the wire. */
+  readonly startedMs?: number;
 }
 
 /** Narrows a choice, for example to members whose gate admits the request. */
