--- a/packages/node/src/connection/memberCodec.ts
+++ b/packages/node/src/connection/memberCodec.ts
@@ -1,11 +1,16 @@
-/** Maps members between the library and the wire. */
+/** Maps members and their news between the library and the wire. */
 import {create} from '@bufbuild/protobuf';
+import type {MemberUpdate} from 'sycamoreyoke/process/membershipMessages';
 import type {Member} from 'sycamoreyoke/process/types';
 import {MemberState} from 'sycamoreyoke/process/types';
-import type {Member as WireMember} from '../gen/sycamoreyoke/control/v1/control_pb.js';
+import type {
+  Member as WireMember,
+  MemberUpdate as WireUpdate,
+} from '../gen/sycamoreyoke/control/v1/control_pb.js';
 import {
   MemberSchema,
   MemberState as WireState,
+  MemberUpdateSchema,
 } from '../gen/sycamoreyoke/control/v1/control_pb.js';
 
 const TO_WIRE: Readonly<Record<MemberState, WireState>> = {
@@ -20,31 +25,93 @@
   Object.values(MemberState).map((state) => [TO_WIRE[state], state]),
 );
 
-/** Encodes a member. */
-export function encodeMember(member: Member): WireMember {
-  return create(MemberSchema, {...member, state: TO_WIRE[member.state]});
+/** Encodes a state. */
+export function encodeState(state: MemberState): WireState {
+  return TO_WIRE[state];
+}
+
+/** Decodes a state; undefined when this version does not know it. */
+export function decodeState(state: WireState): MemberState | undefined {
+  return FROM_WIRE.get(state);
+}
+
+/** Incarnations are 16 bytes on the wire and hexadecimal elsewhere. */
+export function encodeIncarnation(incarnation: string): Uint8Array {
+  return Buffer.from(incarnation, 'hex');
+}
+
+export function decodeIncarnation(bytes: Uint8Array): string {
+  return Buffer.from(bytes).toString('hex');
+}
+
+/** Encodes a record; the start of a process travels as its age. */
+export function encodeMember(member: Member, nowMs: number): WireMember {
+  const {startedMs, state, ...fields} = member;
+  return create(MemberSchema, {
+    ...fields,
+    state: TO_WIRE[state],
+    ageMs:
+      startedMs === undefined ? 0n : BigInt(Math.max(0, Math.round(nowMs - startedMs))),
+  });
+}
+
+/** Decodes a record; undefined when its state is unknown. */
+export function decodeMember(
+  member: WireMember,
+  nowMs: number,
+): Member | undefined {
+  const state = FROM_WIRE.get(member.state);
+  if (state === undefined) return undefined;
+  return {
+    service: member.service,
+    incarnation: member.incarnation,
+    counter: member.counter,
+    address: member.address,
+    peerPort: member.peerPort,
+    controlPort: member.controlPort,
+    adminPort: member.adminPort,
+    publicPort: member.publicPort,
+    dataCentre: member.dataCentre,
+    region: member.region,
+    state,
+    weight: member.weight,
+    epoch: member.epoch,
+    startedMs: nowMs - Number(member.ageMs),
+  };
+}
+
+/** Encodes news of members. */
+export function encodeUpdates(
+  updates: readonly MemberUpdate[],
+  nowMs: number,
+): WireUpdate[] {
+  return updates.map(({incarnation, counter, state, observer, record}) =>
+    create(MemberUpdateSchema, {
+      incarnation: encodeIncarnation(incarnation),
+      counter,
+      state: TO_WIRE[state],
+      observer,
+      ...(record === undefined ? {} : {record: encodeMember(record, nowMs)}),
+    }),
+  );
 }
 
-/** Decodes members; those with an unknown state are skipped. */
-export function decodeMembers(members: readonly WireMember[]): Member[] {
-  return members.flatMap((member) => {
-    const state = FROM_WIRE.get(member.state);
+/** Decodes news; those with an unknown state are skipped. */
+export function decodeUpdates(
+  updates: readonly WireUpdate[],
+  nowMs: number,
+): MemberUpdate[] {
+  return updates.flatMap((update) => {
+    const state = FROM_WIRE.get(update.state);
     if (state === undefined) return [];
+    const record = update.record && decodeMember(update.record, nowMs);
     return [
       {
-        service: member.service,
-        incarnation: member.incarnation,
-        counter: member.counter,
-        address: member.address,
-        peerPort: member.peerPort,
-        controlPort: member.controlPort,
-        adminPort: member.adminPort,
-        publicPort: member.publicPort,
-        dataCentre: member.dataCentre,
-        region: member.region,
+        incarnation: decodeIncarnation(update.incarnation),
+        counter: update.counter,
         state,
-        weight: member.weight,
-        epoch: member.epoch,
+        observer: update.observer,
+        ...(record === undefined ? {} : {record}),
       },
     ];
   });
