--- a/packages/sycamoreyoke/src/version/memoryTable.test.ts
+++ b/packages/sycamoreyoke/src/version/memoryTable.test.ts
@@ -21,7 +21,6 @@
 }
 
 export class MemoryTable implements TableService {
-  readonly rows = new Map<string, TableRow>();
   reads = 0;
   private lastVersion = 0;
 
@@ -29,6 +28,7 @@
   constructor(
     private readonly delay: () => Promise<void> = async () => {},
     private readonly fault: () => TableFault = () => TableFault.NONE,
+    readonly rows = new Map<string, TableRow>(),
   ) {}
 
   read(key: string): Promise<TableRow | undefined> {
--- /dev/null
+++ b/packages/sycamoreyoke/src/version/spreadHarness.test.ts
@@ -0,0 +1,505 @@
+/** Nodes of one service under virtual time, with operators who publish. */
+import {expect} from 'chai';
+import {VirtualClock} from '../clock.js';
+import {SycamoreyokeError} from '../errors.js';
+import {reportByThrowing} from '../invariants.js';
+import {ConfigSpread} from '../process/configSpread.js';
+import type {SpreadAction} from '../process/configSpreadTypes.js';
+import {SpreadActionKind} from '../process/configSpreadTypes.js';
+import type {Random} from '../random.js';
+import {createRandom, takeInteger} from '../random.js';
+import {MemoryStore, MemoryTable, TableFault} from './memoryTable.test.js';
+import {publishEdits} from './publish.js';
+import {writeSnapshotIfDue} from './snapshot.js';
+import {readHead} from './tableSet.js';
+import type {ConfigurationObject} from './types.js';
+import {ObjectKind} from './types.js';
+import {readUpdate} from './update.js';
+
+const TICK_MS = 200;
+const PROBE_MS = 1_000;
+const IN_FORCE_MS = 6_000;
+const DETECTION_MS = 2_000;
+/** Reads of the table are counted after the first start of the nodes. */
+const START_MS = 5_000;
+
+/** What happens in a run. */
+export interface RunOptions {
+  readonly seed: number;
+  readonly members: number;
+  readonly durationMs: number;
+  /** Mean time between the publishes of one operator. */
+  readonly publishEveryMs: number;
+  readonly operators: number;
+  readonly lossShare: number;
+  /** Share of the table's operations whose response is lost or fails. */
+  readonly faultShare: number;
+  /** The publisher reaches no node of the service. */
+  readonly isUnannounced?: boolean;
+  readonly outages?: ReadonlyArray<readonly [number, number]>;
+  /** Nodes restarted at a time, as a share of the members. */
+  readonly restarts?: ReadonlyArray<{atMs: number; share: number}>;
+  /** Nodes cut off between two times. */
+  readonly cuts?: ReadonlyArray<{
+    fromMs: number;
+    untilMs: number;
+    share: number;
+  }>;
+}
+
+export interface RunResult {
+  readonly published: number;
+  readonly conflicts: number;
+  readonly inForceMs: readonly number[];
+  /** Reads by nodes. */
+  readonly tableReadsPerSecond: number;
+  readonly checkedPublishes: number;
+  readonly versions: readonly number[];
+  readonly head: number;
+  readonly readyRestarts: number;
+  /** New nodes that serve an older version than the process before them. */
+  readonly regressions: number;
+  readonly notReady: number;
+}
+
+interface SimulatedNode {
+  readonly slot: number;
+  readonly incarnation: string;
+  readonly startedMs: number;
+  readonly spread: ConfigSpread<ConfigurationObject>;
+  readonly headAtStart: number;
+  /** Version of the process that the node replaces. */
+  readonly previous: number;
+  readonly lowestAtStart: number;
+  objects: ReadonlyMap<string, ConfigurationObject>;
+  version: number;
+  isUp: boolean;
+  isReady: boolean;
+  connectedSinceMs: number;
+  viewOf: number;
+}
+
+interface Scheduled {
+  readonly atMs: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+class Schedule {
+  private readonly heap: Scheduled[] = [];
+  private count = 0;
+
+  add(atMs: number, run: () => void): void {
+    const {heap} = this;
+    let index = heap.length;
+    heap.push({atMs, order: this.count++, run});
+    while (index > 0 && this.compare(index, (index - 1) >> 1) < 0) {
+      index = this.set(index, (index - 1) >> 1);
+    }
+  }
+
+  take(untilMs: number): Scheduled | undefined {
+    const {heap} = this;
+    const first = heap[0];
+    if (!first || first.atMs > untilMs) return undefined;
+    const last = heap.pop();
+    if (heap.length > 0 && last) heap[0] = last;
+    for (let index = 0; ;) {
+      let least = index;
+      for (const child of [2 * index + 1, 2 * index + 2]) {
+        if (child < heap.length && this.compare(child, least) < 0)
+          least = child;
+      }
+      if (least === index) break;
+      index = this.set(index, least);
+    }
+    return first;
+  }
+
+  private compare(a: number, b: number): number {
+    const [x, y] = [this.heap[a], this.heap[b]] as [Scheduled, Scheduled];
+    return x.atMs - y.atMs || x.order - y.order;
+  }
+
+  private set(a: number, b: number): number {
+    const [x, y] = [this.heap[a], this.heap[b]] as [Scheduled, Scheduled];
+    this.heap[a] = y;
+    this.heap[b] = x;
+    return b;
+  }
+}
+
+class Run {
+  private readonly clock = new VirtualClock();
+  private readonly random: Random;
+  private readonly schedule = new Schedule();
+  /** The table as operators use it, and as nodes do, to count their reads. */
+  private readonly table: MemoryTable;
+  private readonly nodeTable: MemoryTable;
+  private readonly store = new MemoryStore();
+  private readonly nodes: SimulatedNode[] = [];
+  private readonly byIncarnation = new Map<string, SimulatedNode>();
+  private membershipChangedMs = -DETECTION_MS;
+  private hasTurns = false;
+  private failure: Error | undefined;
+  private published = 0;
+  private conflicts = 0;
+  private checkedPublishes = 0;
+  private readyRestarts = 0;
+  private regressions = 0;
+  private incarnations = 0;
+  private isQuiet = false;
+  private readonly inForceMs: number[] = [];
+
+  constructor(private readonly options: RunOptions) {
+    this.random = createRandom(options.seed);
+    const delay = () => this.wait(1 + takeInteger(this.random, 10));
+    const fault = () => this.chooseFault();
+    this.table = new MemoryTable(delay, fault);
+    this.nodeTable = new MemoryTable(delay, fault, this.table.rows);
+  }
+
+  async run(): Promise<RunResult> {
+    const {options} = this;
+    for (let slot = 0; slot < options.members; slot += 1) this.start(slot);
+    for (const {atMs, share} of options.restarts ?? []) {
+      this.schedule.add(atMs, () => this.reset(share));
+    }
+    for (const cut of options.cuts ?? []) {
+      this.schedule.add(cut.fromMs, () => this.close(cut.share, cut.untilMs));
+    }
+    for (let id = 0; id < options.operators; id += 1) {
+      this.watch(this.submit(`o${id}`));
+    }
+    await this.advance(START_MS);
+    const startReads = this.nodeTable.reads;
+    await this.advance(options.durationMs);
+    const reads = this.nodeTable.reads - startReads;
+    this.isQuiet = true;
+    await this.advance(options.durationMs + 3 * IN_FORCE_MS);
+    const head = await this.checkEnd();
+    return {
+      published: this.published,
+      conflicts: this.conflicts,
+      inForceMs: this.inForceMs,
+      tableReadsPerSecond: (reads * 1_000) / (options.durationMs - START_MS),
+      checkedPublishes: this.checkedPublishes,
+      versions: this.nodes.map(({version}) => version),
+      head,
+      readyRestarts: this.readyRestarts,
+      regressions: this.regressions,
+      notReady: this.nodes.filter(({isReady}) => !isReady).length,
+    };
+  }
+
+  private async advance(untilMs: number): Promise<void> {
+    for (;;) {
+      const next = this.schedule.take(untilMs);
+      if (!next) break;
+      this.clock.advance(Math.max(0, next.atMs - this.clock.readMs()));
+      next.run();
+      if (this.hasTurns) {
+        this.hasTurns = false;
+        await new Promise(setImmediate);
+      }
+      if (this.failure) throw this.failure;
+    }
+  }
+
+  /** Ends the run with the error of a task that nothing waits for. */
+  private watch(task: Promise<void>): void {
+    this.hasTurns = true;
+    task.catch((error: Error) => {
+      this.failure ??= error;
+    });
+  }
+
+  private wait(milliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.schedule.add(this.clock.readMs() + milliseconds, () => {
+        this.hasTurns = true;
+        resolve();
+      });
+    });
+  }
+
+  private chooseFault(): TableFault {
+    if (this.isDown(this.clock.readMs())) return TableFault.DOWN;
+    if (this.random() >= this.options.faultShare) return TableFault.NONE;
+    return takeInteger(this.random, 3) + TableFault.DOWN;
+  }
+
+  private isDown(fromMs: number, untilMs = fromMs): boolean {
+    return (this.options.outages ?? []).some(
+      ([start, end]) => start <= untilMs && fromMs <= end,
+    );
+  }
+
+  private start(slot: number): void {
+    const incarnation = `n${slot}-${this.incarnations++}`;
+    const now = this.clock.readMs();
+    const spread = new ConfigSpread<ConfigurationObject>({
+      clock: this.clock,
+      random: this.random,
+      report: reportByThrowing,
+      service: 'tracking',
+      self: incarnation,
+    });
+    const old = this.nodes[slot];
+    const ready = this.nodes.filter(({isReady, isUp}) => isReady && isUp);
+    const node: SimulatedNode = {
+      slot,
+      incarnation,
+      startedMs: now,
+      spread,
+      headAtStart: this.readHeadNow(),
+      previous: old?.version ?? 0,
+      lowestAtStart: Math.min(...ready.map(({version}) => version)),
+      objects: new Map(),
+      version: 0,
+      isUp: true,
+      isReady: false,
+      connectedSinceMs: now,
+      viewOf: -1,
+    };
+    const known = this.nodes.filter(({isUp}) => isUp);
+    spread.setPeers(known.map((one) => one.incarnation));
+    if (old) this.byIncarnation.delete(old.incarnation);
+    this.nodes[slot] = node;
+    this.byIncarnation.set(incarnation, node);
+    this.membershipChangedMs = now;
+    const phase = takeInteger(this.random, PROBE_MS);
+    this.runEvery(node, phase % TICK_MS, TICK_MS, () => spread.tick());
+    this.runEvery(node, phase, PROBE_MS, () => this.probe(node));
+  }
+
+  private readHeadNow(): number {
+    const row = this.table.rows.get('configuration/head');
+    return row ? (JSON.parse(row.value) as {version: number}).version : 0;
+  }
+
+  private runEvery(
+    node: SimulatedNode,
+    delayMs: number,
+    everyMs: number,
+    step: () => Array<SpreadAction<ConfigurationObject>>,
+  ): void {
+    this.schedule.add(this.clock.readMs() + delayMs, () => {
+      if (!node.isUp) return;
+      if (this.isConnected(node)) this.apply(node, step());
+      this.runEvery(node, everyMs, everyMs, step);
+    });
+  }
+
+  private probe(node: SimulatedNode): [] {
+    const now = this.clock.readMs();
+    if (this.membershipChangedMs > node.viewOf) {
+      if (now - this.membershipChangedMs >= DETECTION_MS) {
+        const members = this.nodes.filter((one) => this.isConnected(one));
+        node.spread.setPeers(members.map(({incarnation}) => incarnation));
+        node.viewOf = this.membershipChangedMs;
+      }
+    }
+    const peer = this.nodes[takeInteger(this.random, this.nodes.length)];
+    if (!peer || peer === node) return [];
+    const version = node.spread.readVersion();
+    this.send(node, peer, () => {
+      const own = peer.spread.readVersion();
+      this.apply(peer, peer.spread.observeVersion(node.incarnation, version));
+      this.send(peer, node, () =>
+        this.apply(node, node.spread.observeVersion(peer.incarnation, own)),
+      );
+    });
+    return [];
+  }
+
+  private send(from: SimulatedNode, to: SimulatedNode, run: () => void): void {
+    if (this.random() < this.options.lossShare) return;
+    if (!this.isConnected(from)) return;
+    const atMs = this.clock.readMs() + 1 + takeInteger(this.random, 8);
+    this.schedule.add(atMs, () => {
+      if (to.isUp && this.isConnected(to)) run();
+    });
+  }
+
+  private isConnected(node: SimulatedNode): boolean {
+    return node.connectedSinceMs <= this.clock.readMs();
+  }
+
+  private apply(
+    node: SimulatedNode,
+    actions: ReadonlyArray<SpreadAction<ConfigurationObject>>,
+  ): void {
+    for (const action of actions) this.applyOne(node, action);
+    if (node.isReady || !node.spread.isReady()) return;
+    node.isReady = true;
+    if (node.startedMs === 0) return;
+    this.readyRestarts += 1;
+    const isTableUp = !this.isDown(node.startedMs, this.clock.readMs());
+    const least = isTableUp ? node.headAtStart : node.lowestAtStart;
+    expect(node.version, 'new node').to.be.at.least(least);
+    if (node.version < node.previous) this.regressions += 1;
+  }
+
+  private applyOne(
+    node: SimulatedNode,
+    action: SpreadAction<ConfigurationObject>,
+  ): void {
+    const {spread, incarnation} = node;
+    switch (action.kind) {
+      case SpreadActionKind.ADOPT:
+        expect(action.version, 'adopted').to.be.above(node.version);
+        node.version = action.version;
+        node.objects = action.objects;
+        return;
+      case SpreadActionKind.PULL_PEER: {
+        const peer = this.byIncarnation.get(action.peer);
+        if (!peer) return;
+        this.send(node, peer, () => {
+          const response = peer.spread.serve(action.since);
+          this.send(peer, node, () =>
+            this.apply(node, spread.handlePeerResponse(action.peer, response)),
+          );
+        });
+        return;
+      }
+      case SpreadActionKind.ANNOUNCE:
+        for (const one of action.peers) {
+          const peer = this.byIncarnation.get(one);
+          if (!peer) continue;
+          this.send(node, peer, () =>
+            this.apply(
+              peer,
+              peer.spread.observeVersion(incarnation, action.version),
+            ),
+          );
+        }
+        return;
+      case SpreadActionKind.READ_HEAD:
+        this.watch(
+          readHead(this.nodeTable).then(
+            ({version}) => this.apply(node, spread.handleHead(version)),
+            () => this.apply(node, spread.handleHead(undefined)),
+          ),
+        );
+        return;
+      case SpreadActionKind.READ_TABLE:
+        this.watch(
+          readUpdate(this.nodeTable, this.store, action.since).then(
+            (update) => this.apply(node, spread.handleTable(update)),
+            () => this.apply(node, spread.handleTable(undefined)),
+          ),
+        );
+        return;
+      case SpreadActionKind.REFUSE_STALE:
+        return;
+    }
+  }
+
+  private reset(share: number): void {
+    for (const node of [...this.nodes]) {
+      if (this.random() >= share) continue;
+      node.isUp = false;
+      this.start(node.slot);
+    }
+  }
+
+  private close(share: number, untilMs: number): void {
+    for (const node of this.nodes) {
+      if (this.random() < share) node.connectedSinceMs = untilMs;
+    }
+    this.membershipChangedMs = this.clock.readMs();
+    this.schedule.add(untilMs, () => {
+      this.membershipChangedMs = untilMs;
+    });
+  }
+
+  private async submit(who: string): Promise<void> {
+    const {publishEveryMs} = this.options;
+    const wait = (milliseconds: number) => this.wait(milliseconds);
+    const parts = {
+      table: this.table,
+      clock: this.clock,
+      random: this.random,
+      wait,
+    };
+    for (let index = 0; ; index += 1) {
+      await wait(publishEveryMs * (0.5 + this.random()));
+      if (this.isQuiet) return;
+      const name = `l${takeInteger(this.random, 5)}`;
+      const object: ConfigurationObject = {
+        kind: ObjectKind.RETRY_LIMIT,
+        name,
+        perRequest: index % 100,
+        shareOfTraffic: 0.1,
+        backoffBaseMs: 10,
+        backoffMaxMs: 100,
+      };
+      const base = await readHead(this.table).catch(() => undefined);
+      if (!base) continue;
+      const edits = [{kind: object.kind, name, object}];
+      const nonce = `${who}-${index}`;
+      const request = {base: base.version, edits, who, nonce};
+      try {
+        const result = await publishEdits(parts, request);
+        this.admit(result.version);
+        await writeSnapshotIfDue(this.store, result);
+      } catch (error) {
+        if (!(error instanceof SycamoreyokeError)) throw error;
+        this.conflicts += 1;
+      }
+    }
+  }
+
+  /** Notes the publish and checks later that it is in force everywhere. */
+  private admit(version: number): void {
+    this.published += 1;
+    const acceptedMs = this.clock.readMs();
+    const seed = this.nodes[takeInteger(this.random, this.nodes.length)];
+    if (seed && this.options.isUnannounced !== true) {
+      this.send(seed, seed, () =>
+        this.apply(seed, seed.spread.observeAnnouncement(version)),
+      );
+    }
+    const endMs = acceptedMs + IN_FORCE_MS;
+    const pending = new Set(this.nodes.filter(({isUp}) => isUp));
+    const check = () => {
+      for (const node of pending) {
+        const isAway = !node.isUp || node.connectedSinceMs > acceptedMs;
+        if (!isAway && node.version < version) continue;
+        pending.delete(node);
+        if (!isAway) this.inForceMs.push(this.clock.readMs() - acceptedMs);
+      }
+      if (this.isDown(acceptedMs - IN_FORCE_MS, endMs)) return;
+      if (pending.size === 0) {
+        this.checkedPublishes += 1;
+        return;
+      }
+      const late = `version ${version} on ${pending.size} nodes`;
+      expect(this.clock.readMs(), late).to.be.below(endMs);
+      this.schedule.add(this.clock.readMs() + 100, check);
+    };
+    check();
+  }
+
+  private async checkEnd(): Promise<number> {
+    const head = this.readHeadNow();
+    let expected: ReadonlyMap<string, ConfigurationObject> | undefined;
+    const calm = new MemoryTable();
+    for (const [key, row] of this.table.rows) calm.rows.set(key, row);
+    const update = await readUpdate(calm, this.store, 0);
+    if ('objects' in update) expected = update.objects;
+    for (const {version, objects, incarnation} of this.nodes) {
+      expect(version, incarnation).to.equal(head);
+      expect(Object.fromEntries(objects)).to.deep.equal(
+        Object.fromEntries(expected ?? []),
+      );
+    }
+    return head;
+  }
+}
+
+/** Runs one service; rejects when an invariant does not hold. */
+export function runSpread(options: RunOptions): Promise<RunResult> {
+  return new Run(options).run();
+}
