Run the configuration task on the spread

Cause: the task read one row with the whole set from the table each second.

The wiring gains incarnation, event ring, object store and invariant reporter.

--- a/packages/node/src/process/configurationTask.ts
+++ b/packages/node/src/process/configurationTask.ts
@@ -1,43 +1,187 @@
-import type {TableService} from 'sycamoreyoke/platform';
+import type {Clock} from 'sycamoreyoke/clock';
+import type {InvariantReporter} from 'sycamoreyoke/invariants';
+import type {ObjectStore, TableService} from 'sycamoreyoke/platform';
+import {ConfigSpread} from 'sycamoreyoke/process/configSpread';
+import type {
+  SpreadAction,
+  SpreadResponse,
+} from 'sycamoreyoke/process/configSpreadTypes';
+import {SpreadActionKind} from 'sycamoreyoke/process/configSpreadTypes';
+import type {EventRecorder} from 'sycamoreyoke/process/events';
+import {EventCode} from 'sycamoreyoke/process/events';
+import type {Random} from 'sycamoreyoke/random';
 import type {CompiledConfiguration} from 'sycamoreyoke/version/compile';
 import {compileConfiguration} from 'sycamoreyoke/version/compile';
-import type {Configuration} from 'sycamoreyoke/version/types';
+import {readHead} from 'sycamoreyoke/version/tableSet';
+import type {ConfigurationObject} from 'sycamoreyoke/version/types';
+import {readUpdate} from 'sycamoreyoke/version/update';
 
-/** Row that holds the version in force. */
-export const HEAD_KEY = 'configuration/head';
-const POLL_MS = 1_000;
+const TICK_MS = 200;
+/** A start waits this long for a configuration that is known to be recent. */
+const START_WAIT_MS = 5_000;
 
-const EMPTY: CompiledConfiguration = compileConfiguration({
-  version: 0,
-  objects: [],
-});
+/** Answer of a peer, or what this node answers to one. */
+export type ConfigurationResponse = SpreadResponse<ConfigurationObject>;
+
+/** Members of the own service, reached over the control connection. */
+export interface ConfigurationPeers {
+  /** Incarnations of the members that are not suspect, leaving or dead. */
+  list(): readonly string[];
+  /** Rejects when the peer does not answer. */
+  pull(peer: string, sinceVersion: number): Promise<ConfigurationResponse>;
+  /** Tells a peer the version in force; a lost message does no harm. */
+  announce(peer: string, version: number): void;
+}
+
+/** Peers of a node that knows none. */
+export const NO_PEERS: ConfigurationPeers = {
+  list: () => [],
+  pull: () => Promise.reject(new Error('no peer is known')),
+  announce: () => undefined,
+};
+
+/** Called after a version came into force. */
+export type AdoptionListener = (configuration: CompiledConfiguration) => void;
+
+/** What the task works with. */
+export interface ConfigurationTaskParts {
+  readonly table: TableService;
+  readonly objectStore: ObjectStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly report: InvariantReporter;
+  readonly record: EventRecorder;
+  readonly peers: ConfigurationPeers;
+  readonly service: string;
+  /** Incarnation of the own node. */
+  readonly self: string;
+}
 
 /** Owns the configuration in force. */
 export class ConfigurationTask {
-  private current = EMPTY;
+  private readonly spread: ConfigSpread<ConfigurationObject>;
+  private readonly listeners: AdoptionListener[] = [];
+  private readonly waiting: Array<() => void> = [];
+  private current = compileConfiguration({version: 0, objects: []});
   private timer?: NodeJS.Timeout;
 
-  constructor(private readonly table: TableService) {}
+  constructor(private readonly parts: ConfigurationTaskParts) {
+    this.spread = new ConfigSpread(parts);
+  }
 
+  /** Resolves when the node is ready, or after a few seconds without. */
   async start(): Promise<void> {
-    await this.pull();
-    this.timer = setInterval(() => void this.pull(), POLL_MS);
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+    this.tick();
+    if (this.isReady()) return;
+    await new Promise<void>((resolve) => {
+      const timeout = setTimeout(resolve, START_WAIT_MS);
+      this.waiting.push(() => {
+        clearTimeout(timeout);
+        resolve();
+      });
+    });
   }
 
   stop(): void {
     clearInterval(this.timer);
+    for (const resume of this.waiting.splice(0)) resume();
   }
 
+  /** The configuration in force. */
   get(): CompiledConfiguration {
     return this.current;
   }
 
-  private async pull(): Promise<void> {
-    const row = await this.table.read(HEAD_KEY).catch(() => undefined);
-    if (!row) return;
-    const configuration = JSON.parse(row.value) as Configuration;
-    if (configuration.version > this.current.version) {
-      this.current = compileConfiguration(configuration);
+  /** Whether the configuration in force is known to be recent. */
+  isReady(): boolean {
+    return this.spread.isReady();
+  }
+
+  /** Adds a listener for versions that come into force. */
+  addListener(listener: AdoptionListener): void {
+    this.listeners.push(listener);
+  }
+
+  /** A control message of a peer of the own service named its version. */
+  observeVersion(peer: string, version: number): void {
+    this.apply(this.spread.observeVersion(peer, version));
+  }
+
+  /** A publisher named a version. */
+  observeAnnouncement(version: number): void {
+    this.apply(this.spread.observeAnnouncement(version));
+  }
+
+  /** Answers a pull of a peer. */
+  serve(sinceVersion: number): ConfigurationResponse {
+    return this.spread.serve(sinceVersion);
+  }
+
+  private tick(): void {
+    this.spread.setPeers(this.parts.peers.list());
+    this.apply(this.spread.tick());
+  }
+
+  private apply(
+    actions: ReadonlyArray<SpreadAction<ConfigurationObject>>,
+  ): void {
+    for (const action of actions) this.applyOne(action);
+    if (!this.isReady()) return;
+    for (const resume of this.waiting.splice(0)) resume();
+  }
+
+  private applyOne(action: SpreadAction<ConfigurationObject>): void {
+    switch (action.kind) {
+      case SpreadActionKind.ADOPT:
+        this.update(action.version, [...action.objects.values()]);
+        return;
+      case SpreadActionKind.PULL_PEER:
+        void this.pull(action.peer, action.since);
+        return;
+      case SpreadActionKind.READ_HEAD:
+        void this.readHead();
+        return;
+      case SpreadActionKind.READ_TABLE:
+        void this.readTable(action.since);
+        return;
+      case SpreadActionKind.ANNOUNCE:
+        for (const peer of action.peers) {
+          this.parts.peers.announce(peer, action.version);
+        }
+        return;
+      case SpreadActionKind.REFUSE_STALE:
+        this.parts.record(EventCode.CONFIGURATION_STALE_REFUSED, {
+          offered: action.offered,
+          inForce: action.inForce,
+        });
+        return;
     }
   }
+
+  private update(version: number, objects: ConfigurationObject[]): void {
+    this.current = compileConfiguration({version, objects});
+    this.parts.record(EventCode.CONFIGURATION_ADOPTED, {version});
+    for (const listener of this.listeners) listener(this.current);
+  }
+
+  private async pull(peer: string, since: number): Promise<void> {
+    const response = await this.parts.peers
+      .pull(peer, since)
+      .catch(() => undefined);
+    this.apply(this.spread.handlePeerResponse(peer, response));
+  }
+
+  private async readHead(): Promise<void> {
+    const head = await readHead(this.parts.table).catch(() => undefined);
+    this.apply(this.spread.handleHead(head?.version));
+  }
+
+  private async readTable(since: number): Promise<void> {
+    const {table, objectStore} = this.parts;
+    const update = await readUpdate(table, objectStore, since).catch(
+      () => undefined,
+    );
+    this.apply(this.spread.handleTable(update));
+  }
 }
