--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,7 @@
   },
   subCommands: {
     node: async () => (await import('./commands/node.js')).nodeCommand,
+    config: async () => (await import('./commands/config.js')).configCommand,
     'stand-in': async () =>
       (await import('./commands/standIn.js')).standInCommand,
   },
