--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,7 @@
   },
   subCommands: {
     node: async () => (await import('./commands/node.js')).nodeCommand,
+    config: async () => (await import('./commands/config.js')).configCommand,
     status: async () => (await import('./commands/status.js')).statusCommand,
     timeline: async () =>
       (await import('./commands/timeline.js')).timelineCommand,
--- /dev/null
+++ b/packages/node/src/connection/controlHandlers.ts
@@ -0,0 +1,124 @@
+/** Handles the control messages of other nodes. */
+import type {HandlerContext} from '@connectrpc/connect';
+import {Code, ConnectError} from '@connectrpc/connect';
+import type {ClaimWrite} from 'sycamoreyoke/process/claimCombiner';
+import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
+import type {
+  MembershipRequest,
+  MembershipResponse,
+} from 'sycamoreyoke/process/membershipMessages';
+import type {SendAnswer} from 'sycamoreyoke/request/outcome';
+import type {RequestIdentity} from 'sycamoreyoke/types';
+import type {Sender} from '../gen/sycamoreyoke/control/v1/control_pb.js';
+import type {ClaimTask} from '../process/claimTask.js';
+import type {ConfigurationTask} from '../process/configurationTask.js';
+import {encodeAnswer, encodeWriteResult} from './claimCodec.js';
+import {encodeConfiguration} from './configurationCodec.js';
+import type {ControlHandlers} from './controlListener.js';
+import {
+  PROTOCOL_VERSION,
+  decodeAnnounce,
+  decodeIndirectProbe,
+  decodeListRequest,
+  decodeProbe,
+  encodeMembershipResponse,
+} from './membershipCodec.js';
+import type {SenderHeader} from './membershipCodec.js';
+
+/** What the handlers pass messages on to. */
+export interface ControlParts {
+  readonly incarnation: string;
+  readonly readMs: () => number;
+  readonly createSender: () => SenderHeader;
+  readonly observeSender: (sender: Sender | undefined) => void;
+  readonly respond: (request: MembershipRequest) => Promise<MembershipResponse>;
+  readonly mergeSuspects: (suspects: readonly CrashSuspect[]) => void;
+  readonly takeSuspects: () => CrashSuspect[];
+  readonly configuration: ConfigurationTask;
+  readonly claims: ClaimTask;
+  readonly ask: (
+    identity: RequestIdentity,
+    nonce: string,
+  ) => Promise<SendAnswer>;
+}
+
+/** Creates the handlers of the control service. */
+export function createControlHandlers(parts: ControlParts): ControlHandlers {
+  const createHead = () => ({
+    protocolVersion: PROTOCOL_VERSION,
+    sender: parts.createSender(),
+  });
+  const answerMembership = async (
+    request: MembershipRequest,
+    context: HandlerContext,
+  ) => {
+    const response = await waitWithin(context, parts.respond(request));
+    return encodeMembershipResponse(response, parts.readMs());
+  };
+  return {
+    async probe(wire, context) {
+      parts.observeSender(wire.sender);
+      parts.mergeSuspects(wire.suspects);
+      const request = decodeProbe(wire, parts.readMs());
+      const answer = await answerMembership(request, context);
+      return {...createHead(), ...answer, suspects: parts.takeSuspects()};
+    },
+    async indirectProbe(wire, context) {
+      parts.observeSender(wire.sender);
+      const request = decodeIndirectProbe(wire, parts.readMs());
+      if (!request) {
+        throw new ConnectError('the target is missing', Code.InvalidArgument);
+      }
+      return {...createHead(), ...(await answerMembership(request, context))};
+    },
+    async listMembers(wire, context) {
+      parts.observeSender(wire.sender);
+      const request = decodeListRequest(wire);
+      return {...createHead(), ...(await answerMembership(request, context))};
+    },
+    async announce(wire, context) {
+      parts.observeSender(wire.sender);
+      const request = decodeAnnounce(wire, parts.readMs());
+      return {...createHead(), ...(await answerMembership(request, context))};
+    },
+    getConfiguration(wire) {
+      const response = parts.configuration.serve(Number(wire.sinceVersion));
+      return {...createHead(), ...encodeConfiguration(response)};
+    },
+    announceVersion(wire) {
+      parts.configuration.observeAnnouncement(Number(wire.version));
+      return createHead();
+    },
+    async submitClaims(wire) {
+      const writes: ClaimWrite[] = wire.writes.map((write) => ({
+        key: write.key,
+        expectedVersion: Number(write.expectedVersion),
+        value: write.value,
+        retentionMs: Number(write.retentionMs),
+      }));
+      const results = await Promise.all(
+        writes.map((write) => parts.claims.submit(write)),
+      );
+      return {...createHead(), results: results.map(encodeWriteResult)};
+    },
+    async askOutcome(wire) {
+      if (wire.owner !== parts.incarnation) {
+        throw new ConnectError('another incarnation is here', Code.NotFound);
+      }
+      const {caller, requestClass, requestId, nonce} = wire;
+      const identity = {caller, requestClass, requestId};
+      const answer = await parts.ask(identity, nonce);
+      return {...createHead(), ...encodeAnswer(answer)};
+    },
+  };
+}
+
+/** A request that nobody waits for any more must not stay pending. */
+function waitWithin<T>(context: HandlerContext, work: Promise<T>): Promise<T> {
+  return new Promise((resolve, reject) => {
+    const handleAbort = () =>
+      reject(new ConnectError('the request was cancelled', Code.Canceled));
+    context.signal.addEventListener('abort', handleAbort, {once: true});
+    work.then(resolve, reject);
+  });
+}
--- a/packages/node/src/connection/memberCodec.ts
+++ b/packages/node/src/connection/memberCodec.ts
@@ -51,7 +51,9 @@
     ...fields,
     state: TO_WIRE[state],
     ageMs:
-      startedMs === undefined ? 0n : BigInt(Math.max(0, Math.round(nowMs - startedMs))),
+      startedMs === undefined
+        ? 0n
+        : BigInt(Math.max(0, Math.round(nowMs - startedMs))),
   });
 }
 
--- /dev/null
+++ b/packages/node/src/connection/membershipCodec.ts
@@ -0,0 +1,212 @@
+/** Maps the messages of the membership between the library and the wire. */
+import type {
+  MembershipRequest,
+  MembershipResponse,
+} from 'sycamoreyoke/process/membershipMessages';
+import {MessageKind} from 'sycamoreyoke/process/membershipMessages';
+import type {MessageSender} from 'sycamoreyoke/process/membershipMessages';
+import {MemberState} from 'sycamoreyoke/process/types';
+import type {
+  AnnounceRequest,
+  IndirectProbeRequest,
+  ListMembersRequest,
+  ListMembersResponse,
+  ProbeRequest,
+  ProbeResponse,
+  Sender,
+} from '../gen/sycamoreyoke/control/v1/control_pb.js';
+import type {ControlClient} from './controlClients.js';
+import {
+  decodeIncarnation,
+  decodeMember,
+  decodeState,
+  decodeUpdates,
+  encodeIncarnation,
+  encodeMember,
+  encodeState,
+  encodeUpdates,
+} from './memberCodec.js';
+
+/** Version of the messages that this build writes. */
+export const PROTOCOL_VERSION = 1;
+
+/** What every message carries of its sender. */
+export interface SenderHeader {
+  readonly service: string;
+  readonly incarnation: string;
+  readonly configurationVersion: bigint;
+  readonly wallMs: bigint;
+  readonly tick: number;
+}
+
+const NOBODY: MessageSender = {service: '', incarnation: ''};
+
+/** Reads who sent a message. */
+export function decodeSender(sender: Sender | undefined): MessageSender {
+  if (!sender) return NOBODY;
+  return {service: sender.service, incarnation: sender.incarnation};
+}
+
+/** Sends a request of the membership and decodes its response. */
+export async function sendMembershipRequest(
+  client: ControlClient,
+  request: MembershipRequest,
+  sender: SenderHeader,
+  nowMs: () => number,
+): Promise<{response: MembershipResponse; sender: Sender | undefined}> {
+  const head = {protocolVersion: PROTOCOL_VERSION, sender};
+  switch (request.kind) {
+    case MessageKind.PROBE: {
+      const wire = await client.probe({
+        ...head,
+        target: request.target,
+        targetCounter: request.targetCounter,
+        targetState: encodeState(request.targetState),
+        updates: encodeUpdates(request.updates, nowMs()),
+        membersHash: request.membersHash,
+      });
+      return {
+        response: decodeProbeResponse(wire, nowMs()),
+        sender: wire.sender,
+      };
+    }
+    case MessageKind.INDIRECT_PROBE: {
+      const wire = await client.indirectProbe({
+        ...head,
+        target: encodeMember(request.target, nowMs()),
+      });
+      const response: MembershipResponse = {
+        kind: MessageKind.INDIRECT_PROBE,
+        sender: decodeSender(wire.sender),
+        reached: wire.reached,
+        refused: wire.refused,
+      };
+      return {response, sender: wire.sender};
+    }
+    case MessageKind.LIST_MEMBERS: {
+      const wire = await client.listMembers({
+        ...head,
+        service: request.service,
+        informant: request.informant,
+        sinceSequence: BigInt(request.sinceSequence),
+        bucketHashes: [...request.bucketHashes],
+        changedWithinMs: BigInt(Math.round(request.changedWithinMs)),
+        unreachable: request.unreachable.map(encodeIncarnation),
+      });
+      return {response: decodeList(wire, nowMs()), sender: wire.sender};
+    }
+    case MessageKind.ANNOUNCE: {
+      const wire = await client.announce({
+        ...head,
+        updates: encodeUpdates(request.updates, nowMs()),
+      });
+      const response: MembershipResponse = {
+        kind: MessageKind.ANNOUNCE,
+        sender: decodeSender(wire.sender),
+      };
+      return {response, sender: wire.sender};
+    }
+  }
+}
+
+function decodeProbeResponse(
+  wire: ProbeResponse,
+  nowMs: number,
+): MembershipResponse {
+  return {
+    kind: MessageKind.PROBE,
+    sender: decodeSender(wire.sender),
+    updates: decodeUpdates(wire.updates, nowMs),
+    membersHash: wire.membersHash,
+  };
+}
+
+function decodeList(
+  wire: ListMembersResponse,
+  nowMs: number,
+): MembershipResponse {
+  return {
+    kind: MessageKind.LIST_MEMBERS,
+    sender: decodeSender(wire.sender),
+    sequence: Number(wire.sequence),
+    isDelta: wire.isDelta,
+    members: decodeUpdates(wire.members, nowMs),
+  };
+}
+
+/** Decodes a probe that was received. */
+export function decodeProbe(
+  wire: ProbeRequest,
+  nowMs: number,
+): MembershipRequest {
+  return {
+    kind: MessageKind.PROBE,
+    sender: decodeSender(wire.sender),
+    target: wire.target,
+    targetCounter: wire.targetCounter,
+    targetState: decodeState(wire.targetState) ?? MemberState.ACTIVE,
+    updates: decodeUpdates(wire.updates, nowMs),
+    membersHash: wire.membersHash,
+  };
+}
+
+/** Decodes an indirect probe; undefined when its target cannot be read. */
+export function decodeIndirectProbe(
+  wire: IndirectProbeRequest,
+  nowMs: number,
+): MembershipRequest | undefined {
+  const target = wire.target && decodeMember(wire.target, nowMs);
+  if (!target) return undefined;
+  const sender = decodeSender(wire.sender);
+  return {kind: MessageKind.INDIRECT_PROBE, sender, target};
+}
+
+/** Decodes a request for a list. */
+export function decodeListRequest(wire: ListMembersRequest): MembershipRequest {
+  return {
+    kind: MessageKind.LIST_MEMBERS,
+    sender: decodeSender(wire.sender),
+    service: wire.service,
+    informant: wire.informant,
+    sinceSequence: Number(wire.sinceSequence),
+    bucketHashes: wire.bucketHashes,
+    changedWithinMs: Number(wire.changedWithinMs),
+    unreachable: wire.unreachable.map(decodeIncarnation),
+  };
+}
+
+/** Decodes an announcement. */
+export function decodeAnnounce(
+  wire: AnnounceRequest,
+  nowMs: number,
+): MembershipRequest {
+  return {
+    kind: MessageKind.ANNOUNCE,
+    sender: decodeSender(wire.sender),
+    updates: decodeUpdates(wire.updates, nowMs),
+  };
+}
+
+/** Encodes the response to a request of the membership. */
+export function encodeMembershipResponse(
+  response: MembershipResponse,
+  nowMs: number,
+) {
+  switch (response.kind) {
+    case MessageKind.PROBE:
+      return {
+        updates: encodeUpdates(response.updates, nowMs),
+        membersHash: response.membersHash,
+      };
+    case MessageKind.INDIRECT_PROBE:
+      return {reached: response.reached, refused: response.refused};
+    case MessageKind.LIST_MEMBERS:
+      return {
+        sequence: BigInt(response.sequence),
+        isDelta: response.isDelta,
+        members: encodeUpdates(response.members, nowMs),
+      };
+    case MessageKind.ANNOUNCE:
+      return {};
+  }
+}
