--- /dev/null
+++ b/packages/node/src/buildNode.ts
@@ -0,0 +1,322 @@
+/** Wires the tasks of a node whose ports are known. */
+import {randomUUID} from 'node:crypto';
+import type {Container} from 'inversify';
+import {EventCode} from 'sycamoreyoke/process/events';
+import type {
+  Endpoint,
+  MembershipRequest,
+  MembershipResponse,
+} from 'sycamoreyoke/process/membershipMessages';
+import type {Member} from 'sycamoreyoke/process/types';
+import {MemberState} from 'sycamoreyoke/process/types';
+import type {ClaimOwner} from 'sycamoreyoke/request/claim';
+import {ClaimProcedure} from 'sycamoreyoke/request/claim';
+import {RefusalReason} from 'sycamoreyoke/types';
+import {
+  decodeAnswer,
+  decodeWriteResult,
+  encodeWrite,
+} from './connection/claimCodec.js';
+import {decodeConfiguration} from './connection/configurationCodec.js';
+import {createControlHandlers} from './connection/controlHandlers.js';
+import type {ControlHandlers} from './connection/controlListener.js';
+import type {SenderHeader} from './connection/membershipCodec.js';
+import {
+  PROTOCOL_VERSION,
+  sendMembershipRequest,
+} from './connection/membershipCodec.js';
+import type {Sender} from './gen/sycamoreyoke/control/v1/control_pb.js';
+import {ClaimTask} from './process/claimTask.js';
+import {ConfigurationTask} from './process/configurationTask.js';
+import {DrainTask} from './process/drainTask.js';
+import {ExecutorTask} from './process/executorTask.js';
+import {LifecycleState} from './process/lifecycle.js';
+import {MembershipTask} from './process/membershipTask.js';
+import type {NodeParts} from './process/nodeParts.js';
+import {PauseTask} from './process/pauseTask.js';
+import {UpstreamMonitor} from './process/upstreamMonitor.js';
+import {UpstreamTask} from './process/upstreamTask.js';
+import {PARTS} from './wiring.js';
+
+/** Crash suspects in one message. */
+const MAX_SUSPECTS = 8;
+/** Each suspect is sent this often for each doubling of the service. */
+const SENDS_PER_DOUBLING = 3;
+
+/** The tasks of a node. */
+export interface BuiltNode {
+  readonly parts: NodeParts;
+  readonly membership: MembershipTask;
+  readonly configuration: ConfigurationTask;
+  readonly claims: ClaimTask;
+  readonly drain: DrainTask;
+  readonly pauses: PauseTask;
+  readonly controlHandlers: ControlHandlers;
+}
+
+/** Builds all tasks; the last step of the construction. */
+export function buildNode(container: Container, self: Member): BuiltNode {
+  const settings = container.get(PARTS.settings);
+  const clock = container.get(PARTS.clock);
+  const random = container.get(PARTS.random);
+  const report = container.get(PARTS.report);
+  const {record} = container.get(PARTS.events);
+  const hybridClock = container.get(PARTS.hybridClock);
+  const table = container.get(PARTS.table);
+  const objectStore = container.get(PARTS.objectStore);
+  const clients = container.get(PARTS.controlClients);
+  const records = container.get(PARTS.records);
+  const crashes = container.get(PARTS.crashes);
+  const router = container.get(PARTS.router);
+  const gate = container.get(PARTS.gate);
+  const lifecycle = container.get(PARTS.lifecycle);
+  const running = container.get(PARTS.running);
+  const lostExecutions = container.get(PARTS.lostExecutions);
+  const entryLedger = container.get(PARTS.entryLedger);
+  const {incarnation, service} = self;
+
+  const createSender = (): SenderHeader => {
+    const time = hybridClock.read();
+    return {
+      service,
+      incarnation,
+      configurationVersion: BigInt(configuration.get().version),
+      wallMs: BigInt(time.wallMs),
+      tick: time.counter,
+    };
+  };
+  const createHead = () => ({
+    protocolVersion: PROTOCOL_VERSION,
+    sender: createSender(),
+  });
+  const observeSender = (sender: Sender | undefined) => {
+    if (!sender) return;
+    const wallMs = Number(sender.wallMs);
+    hybridClock.observe({wallMs, counter: sender.tick});
+    if (sender.service !== service || sender.incarnation === '') return;
+    const version = Number(sender.configurationVersion);
+    configuration.observeVersion(sender.incarnation, version);
+  };
+  const findMember = (wanted: string) =>
+    membership.listOwn().find((member) => member.incarnation === wanted);
+  const sendRequest = async (
+    to: Endpoint,
+    request: MembershipRequest,
+  ): Promise<MembershipResponse> => {
+    const origin = formatOrigin(to.address, to.port);
+    const {response, sender} = await clients.send(origin, (client) =>
+      sendMembershipRequest(client, request, createSender(), () =>
+        clock.readMs(),
+      ),
+    );
+    observeSender(sender);
+    return response;
+  };
+
+  const membership = new MembershipTask({
+    self,
+    clock,
+    random,
+    report,
+    record,
+    table,
+    objectStore,
+    router,
+    send: sendRequest,
+    peers: settings.peers.map(parseEndpoint),
+    readEpoch: () => records.readEpoch(),
+    updateMembers: (members) =>
+      entryLedger.updateMembers(
+        members
+          .filter(({state}) => state !== MemberState.DEAD)
+          .map((member) => member.incarnation),
+      ),
+  });
+
+  const configuration: ConfigurationTask = new ConfigurationTask({
+    table,
+    objectStore,
+    clock,
+    random,
+    report,
+    record,
+    service,
+    self: incarnation,
+    peers: {
+      list: () =>
+        membership
+          .listOwn()
+          .filter(
+            (member) =>
+              member.incarnation !== incarnation &&
+              member.state === MemberState.ACTIVE,
+          )
+          .map((member) => member.incarnation),
+      pull: async (peer, sinceVersion) => {
+        const wire = await sendTo(findMember(peer), (client) =>
+          client.getConfiguration({
+            ...createHead(),
+            sinceVersion: BigInt(sinceVersion),
+          }),
+        );
+        return decodeConfiguration(wire);
+      },
+      announce: (peer, version) => {
+        sendTo(findMember(peer), (client) =>
+          client.announceVersion({...createHead(), version: BigInt(version)}),
+        ).catch(() => undefined);
+      },
+    },
+  });
+
+  const sendTo = async <T>(
+    member: Member | undefined,
+    message: Parameters<typeof clients.send<T>>[1],
+  ): Promise<T> => {
+    if (!member) throw new Error('the member is not known any more');
+    const origin = formatOrigin(member.address, member.controlPort);
+    return clients.send(origin, message);
+  };
+
+  const claims = new ClaimTask({
+    combiner: container.get(PARTS.combiner),
+    incarnation,
+    listMembers: () => membership.listOwn(),
+    submitTo: async (member, write) => {
+      const wire = await sendTo(member, (client) =>
+        client.submitClaims({...createHead(), writes: [encodeWrite(write)]}),
+      );
+      return decodeWriteResult(write.key, wire.results[0]);
+    },
+  });
+
+  const askOwner: ConstructorParameters<
+    typeof ClaimProcedure
+  >[0]['askOwner'] = async (owner: ClaimOwner, identity, nonce) => {
+    if (owner.incarnation === incarnation) {
+      return executor.ask(identity, nonce);
+    }
+    const origin = formatOrigin(owner.address, owner.controlPort);
+    const wire = await clients.send(origin, (client) =>
+      client.askOutcome({
+        ...createHead(),
+        owner: owner.incarnation,
+        ...identity,
+        nonce,
+      }),
+    );
+    return decodeAnswer(wire);
+  };
+  const claimProcedure = new ClaimProcedure({
+    clock,
+    owner: {
+      incarnation,
+      address: self.address,
+      controlPort: self.controlPort,
+    },
+    records,
+    submit: (write) => claims.send(write),
+    read: (key) => table.read(key),
+    askOwner,
+    createNonce: randomUUID,
+  });
+  const executor: ExecutorTask = new ExecutorTask(
+    records,
+    claimProcedure,
+    record,
+  );
+
+  const drain = new DrainTask(container.get(PARTS.drain), {
+    announceLeaving: () => {
+      lifecycle.set(LifecycleState.LEAVING);
+      membership.announceLeave();
+      record(EventCode.NODE_LEAVING, {cause: 'drain'});
+    },
+    refuse: (ticket) => gate.cancel(ticket, RefusalReason.LEAVING),
+  });
+  const pauses = new PauseTask(container.get(PARTS.pauseDetector), {
+    record,
+    pauseWork: () => {
+      lifecycle.set(LifecycleState.RESUMING);
+      gate.refuseWaiting(RefusalReason.PAUSED);
+    },
+    isStale: () => membership.isStale(),
+    resumeWork: () => lifecycle.set(LifecycleState.ACTIVE),
+  });
+  const computeSends = () =>
+    Math.ceil(SENDS_PER_DOUBLING * Math.log2(membership.listOwn().length + 1));
+  const upstreamTask = new UpstreamTask({
+    incarnation,
+    crashes,
+    lost: lostExecutions,
+    running,
+    record,
+    computeSends,
+    announceUp: (isUp) => membership.announceUpstream(isUp),
+  });
+
+  const parts: NodeParts = {
+    service,
+    incarnation,
+    upstreamOrigin: new URL(settings.upstream).origin,
+    clock,
+    hybridClock,
+    random,
+    record,
+    report,
+    metrics: container.get(PARTS.metrics),
+    lifecycle,
+    configuration,
+    tokenDigests: container.get(PARTS.tokenDigests),
+    entryLedger,
+    gate,
+    drain,
+    pauses,
+    executor,
+    running,
+    crashes,
+    lostExecutions,
+    monitor: new UpstreamMonitor(new URL(settings.upstream), (isUp) =>
+      upstreamTask.handleChange(isUp),
+    ),
+    connections: container.get(PARTS.connections),
+    router,
+    levels: container.get(PARTS.levels),
+    retryBudgets: container.get(PARTS.retryBudgets),
+    observeWork: (requestId) => membership.observeWork(requestId),
+    subscribe: (called) => membership.subscribe(called),
+    reportUnreachable: (member, isRefused) =>
+      membership.reportUnreachable(member, isRefused),
+    reportLeaving: (member) => membership.reportLeaving(member),
+  };
+  const controlHandlers = createControlHandlers({
+    incarnation,
+    readMs: () => clock.readMs(),
+    createSender,
+    observeSender,
+    respond: (request) => membership.respond(request),
+    mergeSuspects: (suspects) => crashes.merge(suspects, computeSends()),
+    takeSuspects: () => crashes.takeSuspects(MAX_SUSPECTS),
+    configuration,
+    claims,
+    ask: (identity, nonce) => executor.ask(identity, nonce),
+  });
+  return {
+    parts,
+    membership,
+    configuration,
+    claims,
+    drain,
+    pauses,
+    controlHandlers,
+  };
+}
+
+function formatOrigin(address: string, port: number): string {
+  return `http://${address}:${port}`;
+}
+
+function parseEndpoint(url: string): Endpoint {
+  const {hostname, port} = new URL(url);
+  return {address: hostname, port: Number(port)};
+}
--- /dev/null
+++ b/packages/node/src/connection/configurationCodec.ts
@@ -0,0 +1,87 @@
+/** Maps answers to configuration pulls between the library and the wire. */
+import type {
+  KeyedEdit,
+  SpreadDelta,
+} from 'sycamoreyoke/process/configSpreadTypes';
+import {SpreadResponseKind} from 'sycamoreyoke/process/configSpreadTypes';
+import {formatObjectKey} from 'sycamoreyoke/version/diff';
+import {objectSchema} from 'sycamoreyoke/version/schema';
+import type {ConfigurationObject} from 'sycamoreyoke/version/types';
+import {z} from 'zod';
+import type {GetConfigurationResponse} from '../gen/sycamoreyoke/control/v1/control_pb.js';
+import type {ConfigurationResponse} from '../process/configurationTask.js';
+
+const deltasSchema = z.object({
+  since: z.int(),
+  deltas: z.array(
+    z.object({
+      version: z.int(),
+      edits: z.array(
+        z.object({key: z.string(), value: objectSchema.nullable()}),
+      ),
+    }),
+  ),
+});
+
+const snapshotSchema = z.array(objectSchema);
+
+/** Encodes an answer; version 0 stands for "not ready". */
+export function encodeConfiguration(response: ConfigurationResponse) {
+  switch (response.kind) {
+    case SpreadResponseKind.DELTA: {
+      const {since, deltas} = response;
+      const version = deltas.at(-1)?.version ?? since;
+      return {
+        version: BigInt(version),
+        isDelta: true,
+        content: encodeJson({since, deltas}),
+      };
+    }
+    case SpreadResponseKind.SNAPSHOT:
+      return {
+        version: BigInt(response.version),
+        isDelta: false,
+        content: encodeJson([...response.objects.values()]),
+      };
+    case SpreadResponseKind.NOT_READY:
+      return {version: 0n, isDelta: false, content: new Uint8Array(0)};
+  }
+}
+
+function encodeJson(value: unknown): Uint8Array {
+  return Buffer.from(JSON.stringify(value));
+}
+
+/** Decodes an answer; throws when it is malformed. */
+export function decodeConfiguration(
+  wire: GetConfigurationResponse,
+): ConfigurationResponse {
+  if (wire.version === 0n) return {kind: SpreadResponseKind.NOT_READY};
+  const content: unknown = JSON.parse(Buffer.from(wire.content).toString());
+  if (wire.isDelta) {
+    const {since, deltas} = deltasSchema.parse(content);
+    return {
+      kind: SpreadResponseKind.DELTA,
+      since,
+      deltas: deltas.map(copyDelta),
+    };
+  }
+  const objects = snapshotSchema.parse(content);
+  return {
+    kind: SpreadResponseKind.SNAPSHOT,
+    version: Number(wire.version),
+    objects: new Map(
+      objects.map((object) => [formatObjectKey(object), object]),
+    ),
+  };
+}
+
+type WireDelta = z.output<typeof deltasSchema>['deltas'][number];
+
+/** The schema's optional fields widen the type of the objects. */
+function copyDelta({
+  version,
+  edits,
+}: WireDelta): SpreadDelta<ConfigurationObject> {
+  return {version, edits: edits as Array<KeyedEdit<ConfigurationObject>>};
+}
--- a/packages/node/src/connection/controlListener.ts
+++ b/packages/node/src/connection/controlListener.ts
@@ -3,6 +3,7 @@
 import {createServer} from 'node:http2';
 import type {Socket} from 'node:net';
 import type {ServiceImpl} from '@connectrpc/connect';
+import {Code, ConnectError} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {ControlService} from '../gen/sycamoreyoke/control/v1/control_pb.js';
 import type {SocketBytes} from './socketBytes.js';
@@ -55,3 +56,25 @@
     });
   return {server, close};
 }
+
+/** Handlers that refuse messages until the node is built. */
+export function buildLateHandlers(slot: {
+  readonly node?: {readonly controlHandlers: ControlHandlers};
+}): ControlHandlers {
+  const get = (): ControlHandlers => {
+    if (slot.node) return slot.node.controlHandlers;
+    throw new ConnectError('the node is starting', Code.Unavailable);
+  };
+  return {
+    probe: (request, context) => get().probe(request, context),
+    indirectProbe: (request, context) => get().indirectProbe(request, context),
+    listMembers: (request, context) => get().listMembers(request, context),
+    announce: (request, context) => get().announce(request, context),
+    getConfiguration: (request, context) =>
+      get().getConfiguration(request, context),
+    announceVersion: (request, context) =>
+      get().announceVersion(request, context),
+    submitClaims: (request, context) => get().submitClaims(request, context),
+    askOutcome: (request, context) => get().askOutcome(request, context),
+  };
+}
--- /dev/null
+++ b/packages/node/src/process/drainTask.ts
@@ -0,0 +1,89 @@
+/** Carries out the graceful shutdown of the node and of its upstream. */
+import type {Drain, DrainAction} from 'sycamoreyoke/process/drain';
+import {DrainActionKind} from 'sycamoreyoke/process/drain';
+
+const TICK_MS = 100;
+
+/** What the shutdown does to the rest of the node. */
+export interface DrainHandlers {
+  readonly announceLeaving: () => void;
+  readonly refuse: (ticket: string) => void;
+}
+
+/** Owns the state of the shutdown. */
+export class DrainTask {
+  private timer: NodeJS.Timeout | undefined;
+  private readonly upstreamWaiting: Array<() => void> = [];
+  private readonly closeWaiting: Array<() => void> = [];
+
+  constructor(
+    private readonly drain: Drain,
+    private readonly handlers: DrainHandlers,
+  ) {}
+
+  /** Leaves; resolves when the listeners may be closed. */
+  stopNode(): Promise<void> {
+    const closed = new Promise<void>((resolve) =>
+      this.closeWaiting.push(resolve),
+    );
+    this.start(this.drain.stopNode());
+    return closed;
+  }
+
+  /** Leaves; resolves when the upstream runs nothing any more. */
+  drainUpstream(): Promise<void> {
+    const drained = new Promise<void>((resolve) =>
+      this.upstreamWaiting.push(resolve),
+    );
+    this.start(this.drain.drainUpstream());
+    return drained;
+  }
+
+  admit(ticket: string, deadline: number): boolean {
+    return this.drain.admit(ticket, deadline);
+  }
+
+  admitCall(parent: string | undefined): boolean {
+    return this.drain.admitCall(parent);
+  }
+
+  startWork(ticket: string): boolean {
+    return this.drain.start(ticket);
+  }
+
+  finish(ticket: string, recordDeadline?: number): void {
+    this.apply(this.drain.finish(ticket, recordDeadline));
+  }
+
+  markDelivered(ticket: string): void {
+    this.apply(this.drain.markDelivered(ticket));
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private start(actions: readonly DrainAction[]): void {
+    this.timer ??= setInterval(() => this.apply(this.drain.tick()), TICK_MS);
+    this.apply(actions);
+  }
+
+  private apply(actions: readonly DrainAction[]): void {
+    for (const action of actions) {
+      switch (action.kind) {
+        case DrainActionKind.ANNOUNCE_LEAVING:
+          this.handlers.announceLeaving();
+          break;
+        case DrainActionKind.REFUSE:
+          this.handlers.refuse(action.ticket);
+          break;
+        case DrainActionKind.ANSWER_UPSTREAM:
+          for (const resolve of this.upstreamWaiting.splice(0)) resolve();
+          break;
+        case DrainActionKind.CLOSE_AND_EXIT:
+          for (const resolve of this.closeWaiting.splice(0)) resolve();
+          break;
+      }
+    }
+  }
+}
--- a/packages/node/src/process/gateTask.ts
+++ b/packages/node/src/process/gateTask.ts
@@ -48,17 +48,17 @@
   }
 
   /** Gives up a ticket that waits for its verdict. */
-  cancel(ticket: string): void {
+  cancel(ticket: string, reason = RefusalReason.CANCELLED): void {
     const resolve = this.waiting.get(ticket);
     if (!resolve) return;
     this.waiting.delete(ticket);
     this.apply(this.gate.cancel(ticket));
-    resolve({
-      kind: GateActionKind.REFUSE,
-      ticket,
-      reason: RefusalReason.CANCELLED,
-      retryAfterMs: 0,
-    });
+    resolve({kind: GateActionKind.REFUSE, ticket, reason, retryAfterMs: 0});
+  }
+
+  /** Refuses everything that waits. */
+  refuseWaiting(reason: RefusalReason): void {
+    for (const ticket of [...this.waiting.keys()]) this.cancel(ticket, reason);
   }
 
   readLevel(): AdmissionLevel {
--- a/packages/node/src/process/nodeParts.ts
+++ b/packages/node/src/process/nodeParts.ts
@@ -12,10 +12,12 @@
 import type {CallConnections} from '../connection/callConnections.js';
 import type {TokenDigests} from '../request/callerCheck.js';
 import type {ConfigurationTask} from './configurationTask.js';
+import type {DrainTask} from './drainTask.js';
 import type {ExecutorTask} from './executorTask.js';
 import type {GateTask} from './gateTask.js';
 import type {Lifecycle} from './lifecycle.js';
 import type {LostExecutions} from './lostExecutions.js';
+import type {PauseTask} from './pauseTask.js';
 import type {RetryBudgets} from './retryBudgets.js';
 import type {RunningRequests} from './runningRequests.js';
 import type {UpstreamMonitor} from './upstreamMonitor.js';
@@ -36,6 +38,8 @@
   readonly tokenDigests: TokenDigests;
   readonly entryLedger: EntryLedger;
   readonly gate: GateTask;
+  readonly drain: DrainTask;
+  readonly pauses: PauseTask;
   readonly executor: ExecutorTask;
   readonly running: RunningRequests;
   readonly crashes: CrashRegister;
@@ -45,6 +49,8 @@
   readonly router: Router;
   readonly levels: LevelCache;
   readonly retryBudgets: RetryBudgets;
+  /** Called for each new request that the node takes. */
+  readonly observeWork: (requestId: string) => void;
   /** Keeps the members of a service up to date while it is called. */
   readonly subscribe: (service: string) => void;
   /** Tells the membership of evidence on a member of another service. */
--- a/packages/node/src/request/callHandler.ts
+++ b/packages/node/src/request/callHandler.ts
@@ -12,7 +12,7 @@
 import {RefusedRequest, createRefusal} from './refusal.js';
 import type {CallOrigin, IncomingCall} from './types.js';
 import type {UpstreamRun} from './upstreamRun.js';
-import {createNotRun, runOnUpstream} from './upstreamRun.js';
+import {runOnUpstream} from './upstreamRun.js';
 
 /** The end of a call, with the retries that were used to serve it. */
 interface CallEnd {
@@ -32,6 +32,7 @@
   const startMs = parts.clock.readMs();
   let requestId = 'none';
   let end: CallEnd;
+  parts.pauses.observe();
   parts.lifecycle.start();
   try {
     const headers = readHeaders(request);
@@ -77,8 +78,6 @@
   checkMayServe(parts, call);
   let run: UpstreamRun | undefined;
   const execute = async (mayDispatch: () => boolean) => {
-    const refusal = parts.lifecycle.getRefusal();
-    if (refusal !== undefined) return createNotRun(refusal);
     run = await runOnUpstream(parts, call, exchange, mayDispatch);
     return run;
   };
@@ -96,7 +95,8 @@
 /** Throws when the node takes no new work, or none of this request. */
 function checkMayServe(parts: NodeParts, call: IncomingCall): void {
   const refusal = parts.lifecycle.getRefusal();
-  if (refusal !== undefined && !isResend(call)) {
+  if (refusal === undefined) parts.observeWork(call.requestId);
+  else if (!isResend(call)) {
     throw createRefusal(refusal, `the node is ${parts.lifecycle.get()}`);
   }
   const verdict = parts.crashes.check(call.identity);
--- /dev/null
+++ b/packages/node/src/request/drainHandler.ts
@@ -0,0 +1,22 @@
+/** The upstream asks its node to let it leave. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {NodeParts} from '../process/nodeParts.js';
+
+const DRAIN_PATH = '/drain';
+
+/** True for the drain call of the local port. */
+export function isDrainRequest(request: IncomingMessage): boolean {
+  return request.method === 'POST' && request.url === DRAIN_PATH;
+}
+
+/** Answers once the upstream runs nothing any more. */
+export async function handleDrain(
+  parts: NodeParts,
+  request: IncomingMessage,
+  exchange: ServerResponse,
+): Promise<void> {
+  request.resume();
+  await parts.drain.drainUpstream();
+  exchange.writeHead(200, {'content-type': 'application/json'});
+  exchange.end('{"drained":true}\n');
+}
--- a/packages/node/src/request/egressHandler.ts
+++ b/packages/node/src/request/egressHandler.ts
@@ -54,6 +54,9 @@
   const compiledClass = findClass(parts, headers);
   checkGuardHeaders(headers, compiledClass);
   const parent = findParent(parts, headers.parentId);
+  if (!parts.drain.admitCall(headers.parentId)) {
+    throw createRefusal(RefusalReason.LEAVING, 'the node is leaving');
+  }
   const requestId = headers.requestId ?? randomUUID();
   const caller = parent?.identity.caller ?? parts.service;
   const {definition, importance} = compiledClass;
--- a/packages/node/src/request/upstreamRun.ts
+++ b/packages/node/src/request/upstreamRun.ts
@@ -28,14 +28,39 @@
   readonly retryAfterMs?: number;
 }
 
-/** Waits for a slot, runs the call and checks its response. */
+/** Runs a call unless the node takes no new work. */
 export async function runOnUpstream(
   parts: NodeParts,
   call: IncomingCall,
   client: ServerResponse,
   mayDispatch: () => boolean,
 ): Promise<UpstreamRun> {
+  const refusal = parts.lifecycle.getRefusal();
+  if (refusal !== undefined) return createNotRun(refusal);
   const executionId = randomUUID();
+  const isRepeatable = call.compiledClass.definition.guard === RepeatGuard.NONE;
+  const endMs = call.deadline + (isRepeatable ? 0 : GUARDED_GRACE_MS);
+  if (!parts.drain.admit(executionId, endMs)) {
+    return createNotRun(RefusalReason.LEAVING);
+  }
+  client.once('finish', () => parts.drain.markDelivered(executionId));
+  try {
+    return await runAdmitted(parts, call, client, executionId, mayDispatch);
+  } finally {
+    // The record of a guarded request answers resends until its deadline.
+    const isAnswered = client.writableFinished || isRepeatable;
+    parts.drain.finish(executionId, isAnswered ? undefined : call.deadline);
+  }
+}
+
+/** Waits for a slot, runs the call and checks its response. */
+async function runAdmitted(
+  parts: NodeParts,
+  call: IncomingCall,
+  client: ServerResponse,
+  executionId: string,
+  mayDispatch: () => boolean,
+): Promise<UpstreamRun> {
   const offeredMs = parts.clock.readMs();
   const isRepeatable = call.compiledClass.definition.guard === RepeatGuard.NONE;
   const stopWatching = watchClient(client, isRepeatable, () =>
@@ -52,6 +77,10 @@
     const {reason, retryAfterMs} = refusal;
     return {...createNotRun(reason), retryAfterMs};
   }
+  if (!parts.drain.startWork(executionId)) {
+    parts.gate.finish(executionId, Completion.CANCELLED);
+    return createNotRun(RefusalReason.LEAVING);
+  }
   if (!mayDispatch()) {
     parts.gate.finish(executionId, Completion.CANCELLED);
     return createNotRun(RefusalReason.SUPERSEDED);
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -1,23 +1,30 @@
 /** Starts and stops a node. */
 import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import type {Container} from 'inversify';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Member} from 'sycamoreyoke/process/types';
 import {MemberState} from 'sycamoreyoke/process/types';
+import type {BuiltNode} from './buildNode.js';
+import {buildNode} from './buildNode.js';
+import type {ControlListener} from './connection/controlListener.js';
+import {
+  buildLateHandlers,
+  openControlListener,
+} from './connection/controlListener.js';
 import {openAdminListener} from './process/adminServer.js';
-import {ClaimTask} from './process/claimTask.js';
 import {LifecycleState} from './process/lifecycle.js';
+import type {ExchangeHandler} from './process/listeners.js';
 import {closeListener, getPort, openCallListener} from './process/listeners.js';
-import {MembershipTask} from './process/membershipTask.js';
-import type {NodeParts} from './process/nodeParts.js';
+import {describeNode, watchProcess} from './process/nodeStatus.js';
 import type {NodeSettings} from './process/settings.js';
-import {UpstreamMonitor} from './process/upstreamMonitor.js';
-import {UpstreamTask} from './process/upstreamTask.js';
+import {runWarmUp} from './process/warmUpRun.js';
 import {handleCall} from './request/callHandler.js';
 import {DIRECTORY_PATH, handleDirectory} from './request/directoryHandler.js';
+import {handleDrain, isDrainRequest} from './request/drainHandler.js';
 import {handleEgress} from './request/egressHandler.js';
 import {CallOrigin} from './request/types.js';
-import {PARTS, buildContainer, buildExecutor} from './wiring.js';
+import {PARTS, buildContainer} from './wiring.js';
 
 /** A running node. */
 export interface RunningNode {
@@ -32,153 +39,141 @@
   readonly peerCalls: Server;
   readonly localCalls: Server;
   readonly admin: Server;
+  readonly control: ControlListener;
 }
 
-/** Opens the listeners, announces the node and serves. */
+/** The node once it is built; the listeners open before that. */
+interface NodeSlot {
+  node?: BuiltNode;
+}
+
+/** Opens the listeners, joins the service, announces the node and serves. */
 export async function startNode(settings: NodeSettings): Promise<RunningNode> {
   const container = buildContainer(settings);
   const {record} = container.get(PARTS.events);
-  const gate = container.get(PARTS.gate);
-  const configuration = container.get(PARTS.configuration);
   const lifecycle = container.get(PARTS.lifecycle);
-  const {parts, claimTask} = buildParts(container);
-  const listeners = await openListeners(container, parts);
+  const slot: NodeSlot = {};
+  const listeners = await openListeners(container, slot);
   const self = describeSelf(container, listeners);
-  record(EventCode.NODE_STARTED, {
-    service: self.service,
-    incarnation: self.incarnation,
-  });
-  gate.start();
-  await configuration.start();
-  const membership = new MembershipTask(
-    container.get(PARTS.table),
-    container.get(PARTS.router),
-    self,
-  );
-  await membership.start();
+  const node = buildNode(container, self);
+  slot.node = node;
+  const {service, incarnation} = self;
+  record(EventCode.NODE_STARTED, {service, incarnation});
+  watchProcess(container, node);
+  container.get(PARTS.gate).start();
+  await node.membership.start();
+  await node.configuration.start();
+  await runWarmUp(container, node, listeners.publicCalls);
+  node.pauses.start();
+  node.membership.announceActive();
   lifecycle.set(LifecycleState.ACTIVE);
-  record(EventCode.NODE_READY, {version: configuration.get().version});
-  const stop = async () => {
-    lifecycle.set(LifecycleState.LEAVING);
-    record(EventCode.NODE_LEAVING, {cause: 'stop'});
-    await Promise.all(Object.values(listeners).map(closeListener));
-    membership.stop();
-    configuration.stop();
-    claimTask.stop();
-    gate.stop();
-    await parts.connections.close();
-    record(EventCode.NODE_STOPPED, {waitedMs: 0});
+  record(EventCode.NODE_READY, {version: node.configuration.get().version});
+  return {
+    self,
+    localPort: getPort(listeners.localCalls),
+    stop: () => stopNode(container, node, listeners),
   };
-  return {self, localPort: getPort(listeners.localCalls), stop};
 }
 
-function buildParts(container: Container) {
-  const settings = container.get(PARTS.settings);
+/** Cuts no request in flight: each task ends after those that need it. */
+async function stopNode(
+  container: Container,
+  node: BuiltNode,
+  listeners: Listeners,
+): Promise<void> {
+  const clock = container.get(PARTS.clock);
   const {record} = container.get(PARTS.events);
-  const crashes = container.get(PARTS.crashes);
-  const lostExecutions = container.get(PARTS.lostExecutions);
-  const running = container.get(PARTS.running);
-  const incarnation = container.get(PARTS.incarnation);
-  const claimTask = new ClaimTask(container.get(PARTS.combiner));
-  const upstreamTask = new UpstreamTask({
-    incarnation,
-    crashes,
-    lost: lostExecutions,
-    running,
-    record,
-    computeSends: () => 0,
-    announceUp: () => undefined,
-  });
-  const parts: NodeParts = {
-    service: settings.service,
-    incarnation,
-    upstreamOrigin: new URL(settings.upstream).origin,
-    clock: container.get(PARTS.clock),
-    hybridClock: container.get(PARTS.hybridClock),
-    random: container.get(PARTS.random),
-    record,
-    report: container.get(PARTS.report),
-    metrics: container.get(PARTS.metrics),
-    lifecycle: container.get(PARTS.lifecycle),
-    configuration: container.get(PARTS.configuration),
-    tokenDigests: container.get(PARTS.tokenDigests),
-    entryLedger: container.get(PARTS.entryLedger),
-    gate: container.get(PARTS.gate),
-    executor: buildExecutor(
-      container,
-      (write) => claimTask.submit(write),
-      () => Promise.resolve(undefined),
-      settings.controlPort,
-    ),
-    running,
-    crashes,
-    lostExecutions,
-    monitor: new UpstreamMonitor(new URL(settings.upstream), (isUp) =>
-      upstreamTask.handleChange(isUp),
-    ),
-    connections: container.get(PARTS.connections),
-    router: container.get(PARTS.router),
-    levels: container.get(PARTS.levels),
-    retryBudgets: container.get(PARTS.retryBudgets),
-    subscribe: () => undefined,
-    reportUnreachable: () => undefined,
-    reportLeaving: () => undefined,
-  };
-  return {parts, claimTask};
+  const startMs = clock.readMs();
+  await node.drain.stopNode();
+  const {publicCalls, peerCalls, localCalls, admin, control} = listeners;
+  await Promise.all([publicCalls, peerCalls, localCalls].map(closeListener));
+  node.pauses.stop();
+  node.membership.stop();
+  node.configuration.stop();
+  node.claims.stop();
+  node.drain.stop();
+  node.parts.monitor.stop();
+  container.get(PARTS.gate).stop();
+  await node.parts.connections.close();
+  container.get(PARTS.controlClients).close();
+  await control.close();
+  record(EventCode.NODE_STOPPED, {waitedMs: clock.readMs() - startMs});
+  await closeListener(admin);
 }
 
 async function openListeners(
   container: Container,
-  parts: NodeParts,
+  slot: NodeSlot,
 ): Promise<Listeners> {
   const settings = container.get(PARTS.settings);
+  const {record} = container.get(PARTS.events);
   const {address} = settings;
-  const metrics = container.get(PARTS.metrics);
+  const wait =
+    (handle: (node: BuiltNode) => ExchangeHandler): ExchangeHandler =>
+    async (request, exchange) => {
+      if (slot.node) await handle(slot.node)(request, exchange);
+      else exchange.writeHead(503).end();
+    };
   const [publicCalls, peerCalls, localCalls, admin] = await Promise.all([
+    openCallListener(wait(createPublicHandler), settings.publicPort, address),
     openCallListener(
-      async (request, exchange) => {
-        if (request.url === DIRECTORY_PATH) {
-          handleDirectory(parts, request, exchange, false);
-        } else {
-          await handleCall(parts, CallOrigin.PUBLIC, request, exchange);
-        }
-      },
-      settings.publicPort,
-      address,
-    ),
-    openCallListener(
-      (request, exchange) =>
-        handleCall(parts, CallOrigin.PEER, request, exchange),
+      wait(
+        ({parts}) =>
+          (request, exchange) =>
+            handleCall(parts, CallOrigin.PEER, request, exchange),
+      ),
       settings.peerPort,
       address,
     ),
-    openCallListener(
-      async (request, exchange) => {
-        if (request.url === DIRECTORY_PATH) {
-          handleDirectory(parts, request, exchange, true);
-        } else {
-          await handleEgress(parts, request, exchange);
-        }
-      },
-      settings.localPort,
-      '127.0.0.1',
-    ),
+    openCallListener(wait(createLocalHandler), settings.localPort, '127.0.0.1'),
     openAdminListener(
       {
-        metrics,
+        metrics: container.get(PARTS.metrics),
         listEvents: () => container.get(PARTS.events).list(),
-        isReady: () => parts.lifecycle.get() === LifecycleState.ACTIVE,
-        describe: () => ({gate: parts.gate.read()}),
+        isReady: () =>
+          container.get(PARTS.lifecycle).get() === LifecycleState.ACTIVE &&
+          (slot.node?.configuration.isReady() ?? false),
+        describe: () => slot.node && describeNode(container, slot.node),
       },
       settings.adminPort,
       address,
     ),
   ]);
-  return {publicCalls, peerCalls, localCalls, admin};
+  const control = await openControlListener(
+    buildLateHandlers(slot),
+    settings.controlPort,
+    address,
+    container.get(PARTS.controlBytes),
+    (message) => record(EventCode.MESSAGE_MALFORMED, {message}),
+  );
+  return {publicCalls, peerCalls, localCalls, admin, control};
+}
+
+function createPublicHandler({parts}: BuiltNode): ExchangeHandler {
+  return async (request, exchange) => {
+    if (request.url === DIRECTORY_PATH) {
+      handleDirectory(parts, request, exchange, false);
+    } else {
+      await handleCall(parts, CallOrigin.PUBLIC, request, exchange);
+    }
+  };
+}
+
+function createLocalHandler({parts}: BuiltNode): ExchangeHandler {
+  return async (request, exchange) => {
+    if (request.url === DIRECTORY_PATH) {
+      handleDirectory(parts, request, exchange, true);
+    } else if (isDrainRequest(request)) {
+      await handleDrain(parts, request, exchange);
+    } else {
+      await handleEgress(parts, request, exchange);
+    }
+  };
 }
 
 function describeSelf(container: Container, listeners: Listeners): Member {
   const settings = container.get(PARTS.settings);
+  const control = listeners.control.server.address() as AddressInfo;
   return {
     service: settings.service,
     incarnation: container.get(PARTS.incarnation),
@@ -186,12 +181,13 @@
     address: settings.address,
     publicPort: getPort(listeners.publicCalls),
     peerPort: getPort(listeners.peerCalls),
-    controlPort: settings.controlPort,
+    controlPort: control.port,
     adminPort: getPort(listeners.admin),
     dataCentre: settings.dataCentre,
     region: settings.region,
-    state: MemberState.ACTIVE,
+    state: MemberState.JOINING,
     weight: settings.slots,
     epoch: 0,
+    startedMs: container.get(PARTS.clock).readMs(),
   };
 }
--- a/packages/node/src/wiring.ts
+++ b/packages/node/src/wiring.ts
@@ -1,14 +1,15 @@
 /** Constructs the parts of a node; no other module does. */
 import 'reflect-metadata';
-import {randomBytes, randomUUID} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import type {ServiceIdentifier} from 'inversify';
 import {Container} from 'inversify';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {InvariantReporter} from 'sycamoreyoke/invariants';
-import type {TableService} from 'sycamoreyoke/platform';
+import type {ObjectStore, TableService} from 'sycamoreyoke/platform';
 import {LevelCache} from 'sycamoreyoke/process/admissionLevel';
 import {ClaimCombiner} from 'sycamoreyoke/process/claimCombiner';
 import {CrashRegister} from 'sycamoreyoke/process/crashRegister';
+import {Drain} from 'sycamoreyoke/process/drain';
 import {EntryLedger} from 'sycamoreyoke/process/entryLedger';
 import {EventCode, EventRing} from 'sycamoreyoke/process/events';
 import {AdaptiveGate} from 'sycamoreyoke/process/gate';
@@ -16,20 +17,19 @@
 import {HybridClock} from 'sycamoreyoke/process/hybridClock';
 import {createDefaultLimiter} from 'sycamoreyoke/process/limiter';
 import {Metrics} from 'sycamoreyoke/process/metrics';
+import {PauseDetector} from 'sycamoreyoke/process/pauseDetector';
 import {TwoChoiceRouter} from 'sycamoreyoke/process/router';
 import type {Router} from 'sycamoreyoke/process/types';
 import type {Random} from 'sycamoreyoke/random';
-import {ClaimProcedure} from 'sycamoreyoke/request/claim';
 import {RecordTable} from 'sycamoreyoke/request/pin';
 import {CallConnections} from './connection/callConnections.js';
 import {ControlClients} from './connection/controlClients.js';
 import {SocketBytes} from './connection/socketBytes.js';
-import {ConfigurationTask} from './process/configurationTask.js';
 import {createEventLog} from './process/eventLog.js';
-import {ExecutorTask} from './process/executorTask.js';
 import {GateTask} from './process/gateTask.js';
 import {Lifecycle} from './process/lifecycle.js';
 import {LostExecutions} from './process/lostExecutions.js';
+import {ObjectStoreClient} from './process/objectStoreClient.js';
 import {RetryBudgets} from './process/retryBudgets.js';
 import {RunningRequests} from './process/runningRequests.js';
 import type {NodeSettings} from './process/settings.js';
@@ -67,7 +67,9 @@
   lostExecutions: identify<LostExecutions>('lostExecutions'),
   running: identify<RunningRequests>('running'),
   records: identify<RecordTable>('records'),
-  configuration: identify<ConfigurationTask>('configuration'),
+  objectStore: identify<ObjectStore>('objectStore'),
+  drain: identify<Drain>('drain'),
+  pauseDetector: identify<PauseDetector>('pauseDetector'),
   connections: identify<CallConnections>('connections'),
   controlBytes: identify<SocketBytes>('controlBytes'),
   controlClients: identify<ControlClients>('controlClients'),
@@ -114,6 +116,8 @@
 
 function bindRequestParts(get: Get, bind: Bind, settings: NodeSettings) {
   bind(PARTS.lifecycle, () => new Lifecycle());
+  bind(PARTS.drain, () => new Drain(get(PARTS.clock), get(PARTS.report)));
+  bind(PARTS.pauseDetector, () => new PauseDetector(get(PARTS.clock)));
   bind(PARTS.gate, () => {
     const clock = get(PARTS.clock);
     const gate = new AdaptiveGate({
@@ -162,11 +166,11 @@
 
 function bindConnections(get: Get, bind: Bind, settings: NodeSettings) {
   bind(PARTS.table, () => new TableClient(settings.tableUrl));
+  bind(PARTS.objectStore, () => new ObjectStoreClient(settings.objectStoreUrl));
   bind(
     PARTS.combiner,
     () => new ClaimCombiner(get(PARTS.clock), get(PARTS.table)),
   );
-  bind(PARTS.configuration, () => new ConfigurationTask(get(PARTS.table)));
   bind(PARTS.connections, () => new CallConnections(CONNECTIONS_PER_ORIGIN));
   bind(PARTS.controlBytes, () => new SocketBytes());
   bind(PARTS.controlClients, () => {
@@ -176,30 +180,3 @@
     );
   });
 }
-
-/** Builds the executor, whose claims carry the control port of the node. */
-export function buildExecutor(
-  container: Container,
-  submit: ConstructorParameters<typeof ClaimProcedure>[0]['submit'],
-  askOwner: ConstructorParameters<typeof ClaimProcedure>[0]['askOwner'],
-  controlPort: number,
-): ExecutorTask {
-  const {address} = container.get(PARTS.settings);
-  const table = container.get(PARTS.table);
-  const records = container.get(PARTS.records);
-  const claims = new ClaimProcedure({
-    clock: container.get(PARTS.clock),
-    owner: {
-      incarnation: container.get(PARTS.incarnation),
-      address,
-      controlPort,
-    },
-    records,
-    submit,
-    read: (key) => table.read(key),
-    askOwner,
-    createNonce: randomUUID,
-  });
-  const {record} = container.get(PARTS.events);
-  return new ExecutorTask(records, claims, record);
-}
