Wait for the members of a service at its first call

Cause: the first call to a service found no member and was refused, and two nodes that started together found each other only after 15 s, because the first seed row was due 10 s after the start.

--- a/packages/node/src/connection/claimCodec.ts
+++ b/packages/node/src/connection/claimCodec.ts
@@ -81,7 +81,7 @@
 /** Decodes the answer of an owner; undefined when it cannot be read. */
 export function decodeAnswer(wire: AskOutcomeResponse): SendAnswer | undefined {
   const reason = Object.values(RefusalReason).find(
-    (known) => known === wire.reason,
+    (known) => String(known) === wire.reason,
   );
   switch (wire.outcome) {
     case WireOutcome.DONE: {
--- a/packages/node/src/connection/configurationCodec.ts
+++ b/packages/node/src/connection/configurationCodec.ts
@@ -1,8 +1,5 @@
 /** Maps answers to configuration pulls between the library and the wire. */
-import type {
-  KeyedEdit,
-  SpreadDelta,
-} from 'sycamoreyoke/process/configSpreadTypes';
+import type {SpreadDelta} from 'sycamoreyoke/process/configSpreadTypes';
 import {SpreadResponseKind} from 'sycamoreyoke/process/configSpreadTypes';
 import {formatObjectKey} from 'sycamoreyoke/version/diff';
 import {objectSchema} from 'sycamoreyoke/version/schema';
@@ -63,7 +60,7 @@
     return {
       kind: SpreadResponseKind.DELTA,
       since,
-      deltas: deltas.map(copyDelta),
+      deltas: deltas.map(readDelta),
     };
   }
   const objects = snapshotSchema.parse(content);
@@ -79,9 +76,9 @@
 type WireDelta = z.output<typeof deltasSchema>['deltas'][number];
 
 /** The schema's optional fields widen the type of the objects. */
-function copyDelta({
+function readDelta({
   version,
   edits,
 }: WireDelta): SpreadDelta<ConfigurationObject> {
-  return {version, edits: edits as Array<KeyedEdit<ConfigurationObject>>};
+  return {version, edits: edits};
 }
--- a/packages/node/src/process/membershipTask.ts
+++ b/packages/node/src/process/membershipTask.ts
@@ -93,6 +93,7 @@
   >();
   private seeds: SeedState = EMPTY_SEED_STATE;
   private nextSeedMs = 0;
+  private readonly pendingLookUps = new Map<string, Promise<void>>();
   private readonly lookUps = new Map<string, ContactLookUp>();
   private nextReply = 0;
   private timer: NodeJS.Timeout | undefined;
@@ -123,6 +124,7 @@
   /** Tells the service that this node takes calls. */
   announceActive(): void {
     this.setState(MemberState.ACTIVE);
+    this.nextSeedMs = 0;
   }
 
   /** Tells the service that the upstream of this node is gone or back. */
@@ -161,12 +163,17 @@
     return this.membership.list();
   }
 
-  /** Keeps the members of a called service up to date. */
-  subscribe(service: string): void {
-    if (service === this.parts.self.service) return;
+  /**
+   * Keeps the members of a called service up to date. The first call waits for
+   * the look-up; undefined when members are known.
+   */
+  subscribe(service: string): Promise<void> | undefined {
+    if (service === this.parts.self.service) return undefined;
     const view = this.findView(service);
     this.apply(view, view.observeCall());
-    if (view.needsContacts()) void this.findContacts(service, view);
+    if (!view.needsContacts()) return undefined;
+    void this.findContacts(service, view);
+    return this.pendingLookUps.get(service);
   }
 
   /** A member did not answer a call. */
@@ -307,6 +314,13 @@
     view: ServiceView,
   ): Promise<void> {
     if (!this.isLookUpDue(service)) return;
+    const lookUp = this.runLookUp(service, view);
+    this.pendingLookUps.set(service, lookUp);
+    await lookUp;
+    this.pendingLookUps.delete(service);
+  }
+
+  private async runLookUp(service: string, view: ServiceView): Promise<void> {
     const contacts = await this.readContacts(service);
     view.addContacts(
       contacts.length > 0 ? contacts : await this.askPeers(service),
--- a/packages/node/src/process/nodeParts.ts
+++ b/packages/node/src/process/nodeParts.ts
@@ -51,8 +51,11 @@
   readonly retryBudgets: RetryBudgets;
   /** Called for each new request that the node takes. */
   readonly observeWork: (requestId: string) => void;
-  /** Keeps the members of a service up to date while it is called. */
-  readonly subscribe: (service: string) => void;
+  /**
+   * Keeps the members of a service up to date while it is called; undefined
+   * when some are known.
+   */
+  readonly subscribe: (service: string) => Promise<void> | undefined;
   /** Tells the membership of evidence on a member of another service. */
   readonly reportUnreachable: (member: Member, isRefused: boolean) => void;
   /** A member refused work because it leaves. */
--- a/packages/node/src/request/directoryHandler.ts
+++ b/packages/node/src/request/directoryHandler.ts
@@ -24,19 +24,19 @@
 }
 
 /** Answers a look-up; the class is named by its header. */
-export function handleDirectory(
+export async function handleDirectory(
   parts: NodeParts,
   request: IncomingMessage,
   exchange: ServerResponse,
   isLocal: boolean,
-): void {
+): Promise<void> {
   request.resume();
   const headers = readHeaders(request);
   if (!isLocal) {
     checkCaller(parts.configuration.get(), headers, parts.tokenDigests);
   }
   const {definition, retryLimit} = findClass(parts, headers);
-  parts.subscribe(definition.service);
+  await parts.subscribe(definition.service);
   const entry: DirectoryEntry = {
     service: definition.service,
     idempotent: definition.idempotent,
--- a/packages/node/src/request/egressCall.ts
+++ b/packages/node/src/request/egressCall.ts
@@ -25,6 +25,9 @@
 import {collectResponseHeaders} from './httpExchange.js';
 import {readChecks} from './upstreamRun.js';
 
+/** Longest wait of a first call for the members of its service. */
+const MAX_LOOK_UP_MS = 500;
+
 /** A call on its way to another service. */
 export interface OutgoingRequest {
   readonly requestId: string;
@@ -64,7 +67,7 @@
   const ledger = new RetryLedger(call.allowance, parts.report);
   const tried = new Set<string>();
   const sends: SentAttempt[] = [];
-  parts.subscribe(call.compiledClass.definition.service);
+  await waitForMembers(parts, call);
   findBudget(parts, call).recordFirst();
   for (let attempt = 0; ; attempt += 1) {
     const end = await sendAttempt(parts, call, ledger, tried, attempt);
@@ -80,6 +83,20 @@
   return delivery;
 }
 
+/** The first call to a service waits until its members are looked up. */
+async function waitForMembers(
+  parts: NodeParts,
+  call: OutgoingRequest,
+): Promise<void> {
+  const lookUp = parts.subscribe(call.compiledClass.definition.service);
+  if (!lookUp) return;
+  const remainingMs = call.deadline - parts.clock.readMs();
+  await Promise.race([
+    lookUp,
+    wait(Math.max(0, Math.min(MAX_LOOK_UP_MS, remainingMs))),
+  ]);
+}
+
 function findBudget(parts: NodeParts, {compiledClass}: OutgoingRequest) {
   const {definition, retryLimit} = compiledClass;
   return parts.retryBudgets.find(definition.service, retryLimit.shareOfTraffic);
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -152,7 +152,7 @@
 function createPublicHandler({parts}: BuiltNode): ExchangeHandler {
   return async (request, exchange) => {
     if (request.url === DIRECTORY_PATH) {
-      handleDirectory(parts, request, exchange, false);
+      await handleDirectory(parts, request, exchange, false);
     } else {
       await handleCall(parts, CallOrigin.PUBLIC, request, exchange);
     }
@@ -162,7 +162,7 @@
 function createLocalHandler({parts}: BuiltNode): ExchangeHandler {
   return async (request, exchange) => {
     if (request.url === DIRECTORY_PATH) {
-      handleDirectory(parts, request, exchange, true);
+      await handleDirectory(parts, request, exchange, true);
     } else if (isDrainRequest(request)) {
       await handleDrain(parts, request, exchange);
     } else {
