Measure membership, connections and a two-hop directory at scale

Change: packages/bench/src/scale: fleets under the virtual clock with the encoded size of each message, framing of connect over loopback, memory of connections, size of configurations, the directory's tables.

--- /dev/null
+++ b/packages/bench/src/scale/connectionCosts.ts
@@ -0,0 +1,110 @@
+/** Bytes of framing for each control message, and memory of connections. */
+import type {Socket} from 'node:net';
+import {createServer, get, Agent} from 'node:http';
+import type {ClientHttp2Session} from 'node:http2';
+import {connect, createServer as createHttp2Server} from 'node:http2';
+import {once} from 'node:events';
+import type {AddressInfo, Server} from 'node:net';
+import {createClient} from '@connectrpc/connect';
+import {
+  connectNodeAdapter,
+  createConnectTransport,
+} from '@connectrpc/connect-node';
+import {ControlService} from '@sycamoreyoke/node/gen/sycamoreyoke/control/v1/control_pb';
+
+const CALLS = 3_000;
+
+/** Bytes of a request and its response beyond their content, and CPU time. */
+export interface FramingCost {
+  readonly requestBytes: number;
+  readonly responseBytes: number;
+  readonly cpuMsPerCall: number;
+}
+
+export async function measureFraming(): Promise<FramingCost> {
+  const handler = connectNodeAdapter({
+    routes: (router) => {
+      router.service(ControlService, {announceVersion: () => ({})});
+    },
+  });
+  const server = createHttp2Server(handler);
+  const sockets: Socket[] = [];
+  server.on('connection', (socket: Socket) => sockets.push(socket));
+  const port = await startListening(server);
+  const transport = createConnectTransport({
+    baseUrl: `http://127.0.0.1:${port}`,
+    httpVersion: '2',
+  });
+  const client = createClient(ControlService, transport);
+  for (let call = 0; call < CALLS; call += 1) await client.announceVersion({});
+  const [socket] = sockets;
+  const before = [socket?.bytesRead ?? 0, socket?.bytesWritten ?? 0] as const;
+  const cpu = process.cpuUsage();
+  for (let call = 0; call < CALLS; call += 1) await client.announceVersion({});
+  const used = process.cpuUsage(cpu);
+  const requestBytes = ((socket?.bytesRead ?? 0) - before[0]) / CALLS;
+  const responseBytes = ((socket?.bytesWritten ?? 0) - before[1]) / CALLS;
+  for (const open of sockets) open.destroy();
+  server.close();
+  const cpuMsPerCall = (used.user + used.system) / 1_000 / CALLS;
+  return {requestBytes, responseBytes, cpuMsPerCall};
+}
+
+/** Resident and heap bytes after opening this many HTTP/1.1 connections,
+ * both ends in this process. */
+export async function measureHttp1(count: number): Promise<number> {
+  const server = createServer((_request, response) => response.end('ok'));
+  const port = await startListening(server);
+  const agent = new Agent({
+    keepAlive: true,
+    maxSockets: count,
+    maxFreeSockets: count,
+  });
+  const before = readMemory();
+  const calls = Array.from({length: count}, async () => {
+    const [response] = (await once(
+      get({port, agent, host: '127.0.0.1'}),
+      'response',
+    )) as [NodeJS.ReadableStream];
+    response.resume();
+    await once(response, 'end');
+  });
+  await Promise.all(calls);
+  const used = readMemory() - before;
+  agent.destroy();
+  server.closeAllConnections();
+  server.close();
+  return used;
+}
+
+export async function measureHttp2(count: number): Promise<number> {
+  const server = createHttp2Server((_request, response) => response.end('ok'));
+  const sockets: Socket[] = [];
+  server.on('connection', (socket: Socket) => sockets.push(socket));
+  const port = await startListening(server);
+  const before = readMemory();
+  const sessions: ClientHttp2Session[] = [];
+  for (let index = 0; index < count; index += 1) {
+    const session = connect(`http://127.0.0.1:${port}`);
+    sessions.push(session);
+    const stream = session.request({':path': '/'});
+    stream.resume();
+    await once(stream, 'end');
+  }
+  const used = readMemory() - before;
+  for (const session of sessions) session.destroy();
+  for (const socket of sockets) socket.destroy();
+  server.close();
+  return used;
+}
+
+function readMemory(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().rss;
+}
+
+async function startListening(server: Server): Promise<number> {
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return (server.address() as AddressInfo).port;
+}
--- /dev/null
+++ b/packages/bench/src/scale/membershipFleet.ts
@@ -0,0 +1,207 @@
+/** Nodes of services under a virtual clock, with counts of their messages. */
+import {VirtualClock} from 'sycamoreyoke/clock';
+import {createRandom, takeInteger} from 'sycamoreyoke/random';
+import {reportByThrowing} from 'sycamoreyoke/invariants';
+import {Membership} from 'sycamoreyoke/process/membership';
+import {createUpdate} from 'sycamoreyoke/process/tableSync';
+import type {Member} from 'sycamoreyoke/process/types';
+import {MemberState} from 'sycamoreyoke/process/types';
+import type {VirtualHost} from 'sycamoreyoke/process/virtualNetwork';
+import {
+  VirtualNetwork,
+  VirtualState,
+} from 'sycamoreyoke/process/virtualNetwork';
+import {computeRequestBytes, computeResponseBytes} from './wireSize.js';
+
+/** The 7 data centres of the target, in 3 regions. */
+const DATA_CENTRES = ['a1', 'a2', 'a3', 'b1', 'b2', 'c1', 'c2'];
+const WIDE_DELAY_MS = 30;
+
+export interface FleetNode {
+  readonly membership: Membership;
+  readonly host: VirtualHost;
+}
+
+/** Traffic of a stretch of time, sums over all nodes. */
+export interface Traffic {
+  readonly messages: number;
+  readonly bytes: number;
+  readonly byKind: ReadonlyMap<string, {messages: number; bytes: number}>;
+}
+
+/** A fleet whose nodes know their whole service from the start. */
+export class MembershipFleet {
+  readonly clock = new VirtualClock();
+  readonly random = createRandom(23_000);
+  readonly services: FleetNode[][] = [];
+  readonly cutRegions = new Set<string>();
+  private readonly network: VirtualNetwork;
+  private byKind = new Map<string, {messages: number; bytes: number}>();
+
+  constructor(services: number, members: number) {
+    this.network = new VirtualNetwork({
+      clock: this.clock,
+      random: this.random,
+      getDelayMs: (from, to) =>
+        getRegion(from) === getRegion(to) ? 1 : WIDE_DELAY_MS,
+      isLost: (from, to) =>
+        getRegion(from) !== getRegion(to) &&
+        (this.cutRegions.has(getRegion(from)) ||
+          this.cutRegions.has(getRegion(to))),
+      observeMessage: (_from, _to, message, isRequest) => {
+        const size = isRequest
+          ? computeRequestBytes(message as never)
+          : computeResponseBytes(message as never);
+        const kind = `${message.kind} ${isRequest ? 'request' : 'response'}`;
+        const sum = this.byKind.get(kind) ?? {messages: 0, bytes: 0};
+        sum.messages += 1;
+        sum.bytes += size;
+        this.byKind.set(kind, sum);
+      },
+    });
+    for (let service = 0; service < services; service += 1) {
+      this.services.push(this.createService(service, members));
+    }
+  }
+
+  run(durationMs: number): void {
+    this.network.run(durationMs);
+  }
+
+  takeTraffic(): Traffic {
+    const {byKind} = this;
+    this.byKind = new Map();
+    const sums = [...byKind.values()];
+    const messages = sums.reduce((sum, part) => sum + part.messages, 0);
+    const bytes = sums.reduce((sum, part) => sum + part.bytes, 0);
+    return {messages, bytes, byKind};
+  }
+
+  startLeave(node: FleetNode): void {
+    this.network.apply(node.host, node.membership.announceLeave());
+  }
+
+  /** Starts another process at the node's address. */
+  startAgain(
+    service: number,
+    node: FleetNode,
+    contacts: FleetNode[],
+  ): FleetNode {
+    const self = {
+      ...node.membership.readSelf(),
+      incarnation: this.createIncarnation(),
+      counter: 0,
+      state: MemberState.JOINING,
+    };
+    const fresh = this.createNode(self);
+    const updates = contacts.map(({membership}) =>
+      createUpdate(membership.readSelf()),
+    );
+    this.network.apply(fresh.host, fresh.membership.start(updates));
+    this.network.schedule(1_000, () =>
+      this.network.apply(
+        fresh.host,
+        fresh.membership.setState(MemberState.ACTIVE),
+      ),
+    );
+    const nodes = this.services[service] ?? [];
+    nodes[nodes.indexOf(node)] = fresh;
+    return fresh;
+  }
+
+  /** Seconds until the condition holds; -1 when it does not in time. */
+  measureUntil(isSettled: () => boolean, limitMs: number): number {
+    const startMs = this.clock.readMs();
+    while (this.clock.readMs() - startMs < limitMs) {
+      if (isSettled()) return (this.clock.readMs() - startMs) / 1_000;
+      this.run(100);
+    }
+    return -1;
+  }
+
+  /** No running node uses any of the members that are gone. */
+  isKnownGone(gone: readonly FleetNode[]): boolean {
+    const lost = new Set(gone);
+    const ids = gone.map(({membership}) => membership.readSelf());
+    return this.listRunning()
+      .filter((node) => !lost.has(node))
+      .every((node) =>
+        ids.every(({incarnation}) => !node.membership.isUsable(incarnation)),
+      );
+  }
+
+  /** Every running node uses every running member of its service. */
+  isKnownLive(live: readonly FleetNode[]): boolean {
+    const ids = live.map(({membership}) => membership.readSelf());
+    return this.listRunning().every((node) => {
+      const self = node.membership.readSelf();
+      return ids.every(
+        ({incarnation, service}) =>
+          service !== self.service || node.membership.isUsable(incarnation),
+      );
+    });
+  }
+
+  listRunning(): FleetNode[] {
+    return this.services
+      .flat()
+      .filter(
+        ({host, membership}) =>
+          host.state === VirtualState.RUNNING &&
+          membership.readSelf().state === MemberState.ACTIVE,
+      );
+  }
+
+  schedule(delayMs: number, run: () => void): void {
+    this.network.schedule(delayMs, run);
+  }
+
+  private createService(service: number, count: number): FleetNode[] {
+    const members = Array.from({length: count}, (_, index): Member => {
+      const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? '';
+      return {
+        service: `service-number-${service}`,
+        incarnation: this.createIncarnation(),
+        counter: 1,
+        address: `10.${service % 250}.${index % 250}.${Math.floor(index / 250) + 100 * Math.floor(service / 250)}`,
+        peerPort: 7_102,
+        controlPort: 7_104,
+        adminPort: 7_105,
+        publicPort: 7_101,
+        dataCentre,
+        region: dataCentre.slice(0, 1),
+        state: MemberState.ACTIVE,
+        weight: 35,
+        epoch: 1_440,
+      };
+    });
+    const updates = members.map(createUpdate);
+    return members.map((self) => {
+      const node = this.createNode(self);
+      node.membership.start(updates);
+      return node;
+    });
+  }
+
+  private createNode(self: Member): FleetNode {
+    const {clock, random} = this;
+    const report = reportByThrowing;
+    const membership = new Membership({self, clock, random, report});
+    const {address, dataCentre} = self;
+    return {
+      membership,
+      host: this.network.add(address, dataCentre, membership),
+    };
+  }
+
+  private createIncarnation(): string {
+    const digits = Array.from({length: 32}, () =>
+      takeInteger(this.random, 16).toString(16),
+    );
+    return digits.join('');
+  }
+}
+
+function getRegion(host: VirtualHost): string {
+  return host.dataCentre.slice(0, 1);
+}
--- /dev/null
+++ b/packages/bench/src/scale/runScale.ts
@@ -0,0 +1,338 @@
+/** Measures membership, configuration and connections at several sizes. */
+import {readFileSync} from 'node:fs';
+import {mkdir, writeFile} from 'node:fs/promises';
+import {loadavg} from 'node:os';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {createRandom} from 'sycamoreyoke/random';
+import {VirtualState} from 'sycamoreyoke/process/virtualNetwork';
+import {measureConfiguration} from './configurationCosts.js';
+import {measureFraming, measureHttp1, measureHttp2} from './connectionCosts.js';
+import {computeLinearFit} from './linearFit.js';
+import type {FleetNode, Traffic} from './membershipFleet.js';
+import {MembershipFleet} from './membershipFleet.js';
+import {SquareRootDirectory} from './squareRootDirectory.js';
+
+const OUTPUT = new URL('../../../../results/scale/', import.meta.url);
+const SETTLE_MS = 5_000;
+const IDLE_MS = 5_000;
+const LIMIT_MS = 60_000;
+
+/** Parts that can be run on their own. */
+export enum ScalePart {
+  CONNECTIONS = 'connections',
+  CONFIGURATION = 'configuration',
+  SIZES = 'sizes',
+  LARGE = 'large',
+  FLEET = 'fleet',
+  EVENTS = 'events',
+  DIRECTORY = 'directory',
+}
+
+/** Runs the parts and writes one Markdown file for each. */
+export async function runScale(
+  parts: readonly ScalePart[] = Object.values(ScalePart),
+): Promise<void> {
+  setFlagsFromString('--expose-gc');
+  setFlagsFromString('--max-old-space-size=7000');
+  globalThis.gc = runInNewContext('gc') as NodeJS.GCFunction;
+  await mkdir(OUTPUT, {recursive: true});
+  const framing = await measureFraming();
+  const framingBytes = (framing.requestBytes + framing.responseBytes) / 2;
+  const run: Record<ScalePart, () => Promise<string[]> | string[]> = {
+    [ScalePart.CONNECTIONS]: () => measureConnections(framing),
+    [ScalePart.CONFIGURATION]: measureConfigurations,
+    [ScalePart.SIZES]: () => measureSizes([100, 300, 1_000], framingBytes),
+    [ScalePart.LARGE]: () => measureSizes([3_000], framingBytes),
+    [ScalePart.FLEET]: () => measureFleet(framingBytes),
+    [ScalePart.EVENTS]: () => measureEvents(framingBytes),
+    [ScalePart.DIRECTORY]: () => measureDirectory(framingBytes),
+  };
+  for (const part of parts) {
+    const startMs = Date.now();
+    const lines = await run[part]();
+    const seconds = Math.round((Date.now() - startMs) / 1_000);
+    const head = `# ${part}: commit ${readCommit()}, load ${loadavg()[0]?.toFixed(1)}, ${seconds} s`;
+    const text = [head, '', ...lines, ''].join('\n');
+    await writeFile(new URL(`${part}.md`, OUTPUT), text);
+    console.log(text);
+  }
+}
+
+async function measureConnections(framing: object): Promise<string[]> {
+  const lines = [JSON.stringify(framing), ''];
+  for (const [name, measure] of [
+    ['HTTP/1.1', measureHttp1],
+    ['HTTP/2', measureHttp2],
+  ] as const) {
+    await measure(50);
+    const points: Array<[number, number]> = [];
+    for (const count of [100, 300, 1_000]) {
+      points.push([count, await measure(count)]);
+    }
+    lines.push(...formatFit(`${name} connections, both ends, bytes`, points));
+  }
+  return lines;
+}
+
+function measureConfigurations(): string[] {
+  measureConfiguration(1_000, readHeap);
+  const sizes = [1_000, 5_000, 20_000];
+  const costs = sizes.map(
+    (size) => [size, measureConfiguration(size, readHeap)] as const,
+  );
+  return [
+    ...formatFit(
+      'heap bytes',
+      costs.map(([n, c]) => [n, c.heapBytes]),
+    ),
+    ...formatFit(
+      'JSON bytes',
+      costs.map(([n, c]) => [n, c.jsonBytes]),
+    ),
+    ...formatFit(
+      'compile CPU ms',
+      costs.map(([n, c]) => [n, c.compileCpuMs]),
+    ),
+  ];
+}
+
+/** One service of each size. */
+function measureSizes(
+  sizes: readonly number[],
+  framingBytes: number,
+): string[] {
+  const lines = [
+    `| members | messages /s | bytes /s sent | CPU us a message | state bytes a member | leave known s | death known s | tenth leaving s | tenth: bytes a node |`,
+    '|---|---|---|---|---|---|---|---|---|',
+  ];
+  const state: Array<[number, number]> = [];
+  for (const members of sizes) {
+    const before = readHeap();
+    const fleet = new MembershipFleet(1, members);
+    const bytes = (readHeap() - before) / members;
+    state.push([members, bytes]);
+    const idle = measureIdle(fleet, framingBytes);
+    const [first, second, ...rest] = fleet.services[0] as [
+      FleetNode,
+      FleetNode,
+    ];
+    fleet.startLeave(first);
+    const leave = fleet.measureUntil(
+      () => fleet.isKnownGone([first]),
+      LIMIT_MS,
+    );
+    fleet.run(3_000);
+    second.host.state = VirtualState.LOST;
+    const death = fleet.measureUntil(
+      () => fleet.isKnownGone([second]),
+      LIMIT_MS,
+    );
+    fleet.run(3_000);
+    fleet.takeTraffic();
+    const tenth = (rest as FleetNode[]).slice(0, members / 10);
+    for (const node of tenth) fleet.startLeave(node);
+    const many = fleet.measureUntil(() => fleet.isKnownGone(tenth), LIMIT_MS);
+    const burst = formatTraffic(fleet.takeTraffic(), members, 1, framingBytes);
+    report(
+      lines,
+      `| ${members} | ${idle} | ${(bytes / members).toFixed(0)} | ${leave} | ${death} | ${many} | ${burst} |`,
+    );
+  }
+  if (sizes.length < 3) return lines;
+  return [...lines, '', ...formatFit('table bytes a node', state)];
+}
+
+/** The whole fleet in services of 24. */
+function measureFleet(framingBytes: number): string[] {
+  const before = readHeap();
+  const fleet = new MembershipFleet(950, 24);
+  const bytes = (readHeap() - before) / (950 * 24);
+  const idle = measureIdle(fleet, framingBytes);
+  const tenth = fleet.services.flat().filter((_, index) => index % 10 === 0);
+  for (const node of tenth) fleet.startLeave(node);
+  const many = fleet.measureUntil(
+    () =>
+      tenth.every((node) => {
+        const self = node.membership.readSelf();
+        const index = Number(self.service.slice('service-number-'.length));
+        return (fleet.services[index] ?? []).every(
+          (peer) =>
+            peer === node || !peer.membership.isUsable(self.incarnation),
+        );
+      }),
+    LIMIT_MS,
+  );
+  const burst = formatTraffic(fleet.takeTraffic(), 950 * 24, 1, framingBytes);
+  return [
+    '| members | messages /s | bytes /s sent | CPU us a message | state bytes a node | tenth leaving s | tenth: messages, bytes a node |',
+    '|---|---|---|---|---|---|---|',
+    `| 950 x 24 | ${idle} | ${bytes.toFixed(0)} | ${many} | ${burst} |`,
+  ];
+}
+
+function measureEvents(framingBytes: number): string[] {
+  const lines = [
+    '| event | service | settled after s | messages, bytes a node |',
+    '|---|---|---|---|',
+  ];
+  for (const members of [24, 1_000]) {
+    const services = members === 24 ? 20 : 1;
+    const nodes = services * members;
+    const size = `${services} x ${members}`;
+    const rack = new MembershipFleet(services, members);
+    rack.run(SETTLE_MS);
+    rack.takeTraffic();
+    const lost = rack.services[0]?.slice(0, members === 24 ? 2 : 40) ?? [];
+    for (const node of lost) node.host.state = VirtualState.LOST;
+    const seconds = rack.measureUntil(() => rack.isKnownGone(lost), LIMIT_MS);
+    const traffic = formatTraffic(rack.takeTraffic(), nodes, 1, framingBytes);
+    report(
+      lines,
+      `| ${lost.length} nodes silent | ${size} | ${seconds} | ${traffic} |`,
+    );
+    report(lines, measureReturn(services, members, size, framingBytes));
+    report(lines, measureCut(services, members, size, framingBytes));
+  }
+  return lines;
+}
+
+/** One of the 7 data centres restarts all its nodes within a minute. */
+function measureReturn(
+  services: number,
+  members: number,
+  size: string,
+  framingBytes: number,
+): string {
+  const fleet = new MembershipFleet(services, members);
+  fleet.run(SETTLE_MS);
+  const old = fleet.services.flat().filter((n) => n.host.dataCentre === 'a1');
+  for (const node of old) node.host.state = VirtualState.LOST;
+  fleet.run(15_000);
+  fleet.takeTraffic();
+  const fresh: FleetNode[] = [];
+  fleet.services.forEach((nodes, service) => {
+    const contacts = nodes
+      .filter((n) => n.host.dataCentre !== 'a1')
+      .slice(0, 4);
+    for (const node of nodes.filter((n) => old.includes(n))) {
+      fleet.schedule(60_000 * fleet.random(), () =>
+        fresh.push(fleet.startAgain(service, node, contacts)),
+      );
+    }
+  });
+  fleet.run(61_100);
+  const during = formatTraffic(
+    fleet.takeTraffic(),
+    services * members,
+    1,
+    framingBytes,
+  );
+  const settled = fleet.measureUntil(() => fleet.isKnownLive(fresh), LIMIT_MS);
+  return `| data centre back in 60 s (${fresh.length} nodes) | ${size} | ${settled} after the last | ${during} |`;
+}
+
+/** Region c loses the others. */
+function measureCut(
+  services: number,
+  members: number,
+  size: string,
+  framingBytes: number,
+): string {
+  const fleet = new MembershipFleet(services, members);
+  fleet.run(SETTLE_MS);
+  fleet.takeTraffic();
+  fleet.cutRegions.add('c');
+  const cutMs = members < 100 ? 300_000 : 60_000;
+  fleet.run(cutMs);
+  const nodes = services * members;
+  const during = formatTraffic(fleet.takeTraffic(), nodes, 1, framingBytes);
+  fleet.cutRegions.clear();
+  const all = fleet.listRunning();
+  const settled = fleet.measureUntil(() => fleet.isKnownLive(all), LIMIT_MS);
+  const heal = formatTraffic(fleet.takeTraffic(), nodes, 1, framingBytes);
+  return `| region cut ${cutMs / 1_000} s, healed | ${size} | ${settled} after the heal | cut: ${during}; heal: ${heal} |`;
+}
+
+function measureDirectory(framingBytes: number): string[] {
+  const lines = [
+    '| members | entries | state bytes | messages /s sent | bytes /s sent | stale s | failed lookups, a tenth gone |',
+    '|---|---|---|---|---|---|---|',
+  ];
+  const points: Array<[number, number]> = [];
+  for (const members of [100, 1_000, 23_000]) {
+    const directory = new SquareRootDirectory(members, createRandom(members));
+    const f = directory.measure(100 + framingBytes, 20_000);
+    points.push([Math.sqrt(members), f.bytes]);
+    lines.push(
+      `| ${members} | ${f.entries.toFixed(0)} | ${f.stateBytes.toFixed(0)} | ${f.messages.toFixed(0)} | ${f.bytes.toFixed(0)} | ${f.staleSeconds.toFixed(1)} | ${f.failedLookups} |`,
+    );
+  }
+  return [...lines, '', ...formatFit('bytes /s by square root', points)];
+}
+
+/** Traffic and processor time while nothing happens. */
+function measureIdle(fleet: MembershipFleet, framingBytes: number): string {
+  fleet.run(SETTLE_MS);
+  fleet.takeTraffic();
+  const cpu = process.cpuUsage();
+  fleet.run(IDLE_MS);
+  const used = process.cpuUsage(cpu);
+  const traffic = fleet.takeTraffic();
+  const nodes = fleet.services.flat().length;
+  const cpuUs = (used.user + used.system) / traffic.messages;
+  const sums = formatTraffic(traffic, nodes, IDLE_MS / 1_000, framingBytes);
+  return `${sums.replace(', ', ' | ')} | ${cpuUs.toFixed(1)}`;
+}
+
+/** Messages and bytes that a node sends, framing included. */
+function formatTraffic(
+  traffic: Traffic,
+  nodes: number,
+  seconds: number,
+  framingBytes: number,
+): string {
+  const messages = traffic.messages / nodes / seconds;
+  const bytes = traffic.bytes / nodes / seconds + messages * framingBytes;
+  return `${messages.toFixed(2)}, ${bytes.toFixed(0)}`;
+}
+
+function formatFit(
+  name: string,
+  points: ReadonlyArray<readonly [number, number]>,
+): string[] {
+  const {slope, intercept, r2} = computeLinearFit(points);
+  const values = points.map(([x, y]) => `${x}: ${y.toFixed(1)}`).join(', ');
+  const fit = `${intercept.toFixed(1)} + ${slope.toFixed(3)} x, R2 ${r2.toFixed(4)}`;
+  return [`${name}: ${values}; fit ${fit}`, ''];
+}
+
+/** Shows a row of a long part when it is known. */
+function report(lines: string[], line: string): void {
+  console.log(line);
+  lines.push(line);
+}
+
+function readHeap(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+/** Short hash of the checkout, which may be a linked work tree. */
+function readCommit(): string {
+  const git = new URL('../../../../.git', import.meta.url);
+  try {
+    const link = readFileSync(git, 'utf8').replace('gitdir: ', '').trim();
+    const head = readFileSync(`${link}/HEAD`, 'utf8')
+      .replace('ref: ', '')
+      .trim();
+    return readFileSync(`${link}/../../${head}`, 'utf8').slice(0, 7);
+  } catch {
+    return 'unknown';
+  }
+}
+
+if (process.argv[1]?.endsWith('runScale.js')) {
+  const asked = process.argv.slice(2) as ScalePart[];
+  await runScale(asked.length > 0 ? asked : undefined);
+}
--- a/packages/sycamoreyoke/src/process/constants.ts
+++ b/packages/sycamoreyoke/src/process/constants.ts
@@ -26,8 +26,8 @@
 export const HEAL_MS = 10_000;
 /** Updates in one message. */
 export const MAX_UPDATE_BYTES = 1_024;
-/** Urgent updates are announced directly at this interval; probes alone took
- * 6 s to 9 s to inform 3,000 members. */
+/** Urgent updates are announced directly at this interval; by probes alone,
+ * news triples each second and needs 7 s and more for 3,000 members. */
 export const ANNOUNCE_INTERVAL_MS = 200;
 /** Members told at each announcement. */
 export const ANNOUNCE_FANOUT = 3;
