Warm the own path, follow the policy's lean, compute pin epochs from age

Cause: the gate ignored the policy; crash suspects did not travel on probe requests; a record that came from a seed had no start, so a pin to a node older than a minute would carry epoch 0 and be answered unknown; the warm-up was refused before it reached the forwarding code.

--- a/packages/caller/src/process/directory.ts
+++ b/packages/caller/src/process/directory.ts
@@ -12,6 +12,8 @@
 const DIRECTORY_PATH = '/.well-known/sycamoreyoke/directory';
 /** An entry is read again at this age; the epoch of a pin lasts 60 s. */
 const REFRESH_MS = 1_000;
+/** An older entry is read again before it is used: its pins may be expired. */
+const MAX_AGE_MS = 20_000;
 const READ_TIMEOUT_MS = 1_000;
 const READ_ATTEMPTS = 3;
 
@@ -58,7 +60,9 @@
   async find(requestClass: string): Promise<ClassEntry> {
     const cached = this.cache.get(requestClass);
     if (!cached) return this.refresh(requestClass);
-    const isOld = this.clock.readMs() - cached.readMs >= REFRESH_MS;
+    const ageMs = this.clock.readMs() - cached.readMs;
+    if (ageMs >= MAX_AGE_MS) return this.refresh(requestClass);
+    const isOld = ageMs >= REFRESH_MS;
     // An old entry still serves: a node that is gone is found out by the call.
     if (isOld) void this.refresh(requestClass).catch(() => undefined);
     return cached.entry;
--- a/packages/node/src/buildNode.ts
+++ b/packages/node/src/buildNode.ts
@@ -1,7 +1,13 @@
 /** Wires the tasks of a node whose ports are known. */
 import {randomUUID} from 'node:crypto';
 import type {Container} from 'inversify';
+import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {EventCode} from 'sycamoreyoke/process/events';
+import type {GateParameters} from 'sycamoreyoke/process/gateParameters';
+import {
+  GOODPUT_PARAMETERS,
+  RECOVERY_PARAMETERS,
+} from 'sycamoreyoke/process/gateParameters';
 import type {
   Endpoint,
   MembershipRequest,
@@ -12,6 +18,8 @@
 import type {ClaimOwner} from 'sycamoreyoke/request/claim';
 import {ClaimProcedure} from 'sycamoreyoke/request/claim';
 import {RefusalReason} from 'sycamoreyoke/types';
+import type {PolicyObject} from 'sycamoreyoke/version/types';
+import {Lean} from 'sycamoreyoke/version/types';
 import {
   decodeAnswer,
   decodeWriteResult,
@@ -97,6 +105,11 @@
     const version = Number(sender.configurationVersion);
     configuration.observeVersion(sender.incarnation, version);
   };
+  const computeSends = () =>
+    Math.ceil(SENDS_PER_DOUBLING * Math.log2(membership.listOwn().length + 1));
+  const mergeSuspects = (suspects: readonly CrashSuspect[]) =>
+    crashes.merge(suspects, computeSends());
+  const takeSuspects = () => crashes.takeSuspects(MAX_SUSPECTS);
   const findMember = (wanted: string) =>
     membership.listOwn().find((member) => member.incarnation === wanted);
   const sendRequest = async (
@@ -104,12 +117,16 @@
     request: MembershipRequest,
   ): Promise<MembershipResponse> => {
     const origin = formatOrigin(to.address, to.port);
-    const {response, sender} = await clients.send(origin, (client) =>
-      sendMembershipRequest(client, request, createSender(), () =>
-        clock.readMs(),
+    const {response, sender, suspects} = await clients.send(origin, (client) =>
+      sendMembershipRequest(
+        client,
+        request,
+        {...createHead(), suspects: takeSuspects()},
+        () => clock.readMs(),
       ),
     );
     observeSender(sender);
+    mergeSuspects(suspects);
     return response;
   };
 
@@ -124,7 +141,6 @@
     router,
     send: sendRequest,
     peers: settings.peers.map(parseEndpoint),
-    readEpoch: () => records.readEpoch(),
     updateMembers: (members) =>
       entryLedger.updateMembers(
         members
@@ -243,8 +259,6 @@
     isStale: () => membership.isStale(),
     resumeWork: () => lifecycle.set(LifecycleState.ACTIVE),
   });
-  const computeSends = () =>
-    Math.ceil(SENDS_PER_DOUBLING * Math.log2(membership.listOwn().length + 1));
   const upstreamTask = new UpstreamTask({
     incarnation,
     crashes,
@@ -255,6 +269,11 @@
     announceUp: (isUp) => membership.announceUpstream(isUp),
   });
 
+  configuration.addListener((compiled) => {
+    const policy = compiled.policyOfService.get(service);
+    if (policy) gate.update(buildGateParameters(policy));
+  });
+
   const parts: NodeParts = {
     service,
     incarnation,
@@ -295,8 +314,8 @@
     createSender,
     observeSender,
     respond: (request) => membership.respond(request),
-    mergeSuspects: (suspects) => crashes.merge(suspects, computeSends()),
-    takeSuspects: () => crashes.takeSuspects(MAX_SUSPECTS),
+    mergeSuspects,
+    takeSuspects,
     configuration,
     claims,
     ask: (identity, nonce) => executor.ask(identity, nonce),
@@ -312,6 +331,12 @@
   };
 }
 
+/** The lean of a policy decides between two sets of gate parameters. */
+function buildGateParameters({lean, queueLimit}: PolicyObject): GateParameters {
+  const base = lean === Lean.GOODPUT ? GOODPUT_PARAMETERS : RECOVERY_PARAMETERS;
+  return {...base, queueLimit};
+}
+
 function formatOrigin(address: string, port: number): string {
   return `http://${address}:${port}`;
 }
--- a/packages/node/src/connection/memberCodec.ts
+++ b/packages/node/src/connection/memberCodec.ts
@@ -53,7 +53,7 @@
     ageMs:
       startedMs === undefined
         ? 0n
-        : BigInt(Math.max(0, Math.round(nowMs - startedMs))),
+        : BigInt(Math.max(1, Math.round(nowMs - startedMs))),
   });
 }
 
@@ -78,7 +78,7 @@
     state,
     weight: member.weight,
     epoch: member.epoch,
-    startedMs: nowMs - Number(member.ageMs),
+    ...(member.ageMs === 0n ? {} : {startedMs: nowMs - Number(member.ageMs)}),
   };
 }
 
--- a/packages/node/src/connection/membershipCodec.ts
+++ b/packages/node/src/connection/membershipCodec.ts
@@ -1,4 +1,5 @@
 /** Maps the messages of the membership between the library and the wire. */
+import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import type {
   MembershipRequest,
   MembershipResponse,
@@ -47,14 +48,27 @@
   return {service: sender.service, incarnation: sender.incarnation};
 }
 
+/** What every request carries; crash suspects ride on probes. */
+export interface MessageHead {
+  readonly protocolVersion: number;
+  readonly sender: SenderHeader;
+  readonly suspects: readonly CrashSuspect[];
+}
+
+/** A response, with what rode on it. */
+export interface ReceivedResponse {
+  readonly response: MembershipResponse;
+  readonly sender: Sender | undefined;
+  readonly suspects: readonly CrashSuspect[];
+}
+
 /** Sends a request of the membership and decodes its response. */
 export async function sendMembershipRequest(
   client: ControlClient,
   request: MembershipRequest,
-  sender: SenderHeader,
+  {suspects, ...head}: MessageHead,
   nowMs: () => number,
-): Promise<{response: MembershipResponse; sender: Sender | undefined}> {
-  const head = {protocolVersion: PROTOCOL_VERSION, sender};
+): Promise<ReceivedResponse> {
   switch (request.kind) {
     case MessageKind.PROBE: {
       const wire = await client.probe({
@@ -64,8 +78,10 @@
         targetState: encodeState(request.targetState),
         updates: encodeUpdates(request.updates, nowMs()),
         membersHash: request.membersHash,
+        suspects: [...suspects],
       });
       return {
+        suspects: wire.suspects,
         response: decodeProbeResponse(wire, nowMs()),
         sender: wire.sender,
       };
@@ -81,7 +97,7 @@
         reached: wire.reached,
         refused: wire.refused,
       };
-      return {response, sender: wire.sender};
+      return {response, sender: wire.sender, suspects: []};
     }
     case MessageKind.LIST_MEMBERS: {
       const wire = await client.listMembers({
@@ -93,7 +109,8 @@
         changedWithinMs: BigInt(Math.round(request.changedWithinMs)),
         unreachable: request.unreachable.map(encodeIncarnation),
       });
-      return {response: decodeList(wire, nowMs()), sender: wire.sender};
+      const response = decodeList(wire, nowMs());
+      return {response, sender: wire.sender, suspects: []};
     }
     case MessageKind.ANNOUNCE: {
       const wire = await client.announce({
@@ -104,7 +121,7 @@
         kind: MessageKind.ANNOUNCE,
         sender: decodeSender(wire.sender),
       };
-      return {response, sender: wire.sender};
+      return {response, sender: wire.sender, suspects: []};
     }
   }
 }
--- a/packages/node/src/process/gateTask.ts
+++ b/packages/node/src/process/gateTask.ts
@@ -1,9 +1,10 @@
 import type {Clock} from 'sycamoreyoke/clock';
+import type {AdaptiveGate} from 'sycamoreyoke/process/gate';
+import type {GateParameters} from 'sycamoreyoke/process/gateParameters';
 import type {
   AdmissionLevel,
   Arrival,
   Completion,
-  Gate,
   GateAction,
 } from 'sycamoreyoke/process/types';
 import {GateActionKind} from 'sycamoreyoke/process/types';
@@ -23,7 +24,7 @@
   private timer?: NodeJS.Timeout;
 
   constructor(
-    private readonly gate: Gate,
+    private readonly gate: AdaptiveGate,
     readonly clock: Clock,
   ) {}
 
@@ -43,8 +44,13 @@
     });
   }
 
-  finish(ticket: string, completion: Completion): void {
-    this.apply(this.gate.finish(ticket, completion));
+  /** `childMs`: time in which the upstream had calls of its own in flight. */
+  finish(ticket: string, completion: Completion, childMs = 0): void {
+    this.apply(this.gate.finish(ticket, completion, childMs));
+  }
+
+  update(parameters: GateParameters): void {
+    this.gate.update(parameters);
   }
 
   /** Gives up a ticket that waits for its verdict. */
--- a/packages/node/src/process/membershipTask.ts
+++ b/packages/node/src/process/membershipTask.ts
@@ -60,8 +60,6 @@
   readonly send: MembershipSender;
   /** Control endpoints from the settings. */
   readonly peers: readonly Endpoint[];
-  /** Epoch that pins to this node carry now. */
-  readonly readEpoch: () => number;
   readonly updateMembers: (members: readonly Member[]) => void;
 }
 
@@ -275,14 +273,7 @@
 
   /** The router calls members of the own service as of any other. */
   private updateOwnService(): void {
-    const epoch = this.parts.readEpoch();
-    const members = this.membership
-      .list()
-      .map((member) =>
-        member.incarnation === this.parts.self.incarnation
-          ? {...member, epoch}
-          : member,
-      );
+    const members = this.membership.list();
     this.parts.router.update(this.parts.self.service, members);
     this.parts.updateMembers(members);
   }
--- a/packages/node/src/process/runningRequests.ts
+++ b/packages/node/src/process/runningRequests.ts
@@ -1,3 +1,4 @@
+import type {Clock} from 'sycamoreyoke/clock';
 import type {RetryLedger} from 'sycamoreyoke/request/allowance';
 import type {Importance, RequestIdentity} from 'sycamoreyoke/types';
 
@@ -11,6 +12,39 @@
   /** On the clock of the node, in milliseconds. */
   readonly deadline: number;
   readonly ledger: RetryLedger;
+  readonly calls: ChildCalls;
+}
+
+/** The calls that the upstream makes to serve a request. */
+export class ChildCalls {
+  private open = 0;
+  private openedMs = 0;
+  private totalMs = 0;
+  private isShed = false;
+
+  constructor(private readonly clock: Clock) {}
+
+  start(): void {
+    if (this.open === 0) this.openedMs = this.clock.readMs();
+    this.open += 1;
+  }
+
+  finish(isShed: boolean): void {
+    this.open -= 1;
+    this.isShed ||= isShed;
+    if (this.open > 0) return;
+    this.totalMs += this.clock.readMs() - this.openedMs;
+  }
+
+  /** Time in which at least one call was in flight. */
+  readMs(): number {
+    return this.totalMs;
+  }
+
+  /** True when a call was refused for load further down. */
+  isAnyShed(): boolean {
+    return this.isShed;
+  }
 }
 
 /** Finds the request that an outgoing call of the upstream serves. */
--- a/packages/node/src/process/warmUpRun.ts
+++ b/packages/node/src/process/warmUpRun.ts
@@ -1,58 +1,140 @@
-/** Calls the own path until its code is compiled. */
+/** Runs calls through the own path until its code is compiled. */
 import type {Server} from 'node:http';
-import type {Container} from 'inversify';
+import {createServer} from 'node:http';
+import type {Clock} from 'sycamoreyoke/clock';
+import {CrashRegister} from 'sycamoreyoke/process/crashRegister';
+import {Drain} from 'sycamoreyoke/process/drain';
 import {EventCode} from 'sycamoreyoke/process/events';
-import {WarmUp} from 'sycamoreyoke/process/warmUp';
+import {AdaptiveGate} from 'sycamoreyoke/process/gate';
+import {RECOVERY_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
+import {createDefaultLimiter} from 'sycamoreyoke/process/limiter';
+import {Metrics} from 'sycamoreyoke/process/metrics';
+import {WARM_UP_CONCURRENCY, WarmUp} from 'sycamoreyoke/process/warmUp';
+import {RepeatGuard} from 'sycamoreyoke/types';
+import type {Dispatcher} from 'undici';
 import type {BuiltNode} from '../buildNode.js';
-import {PARTS} from '../wiring.js';
-import {getPort} from './listeners.js';
+import {handleCall} from '../request/callHandler.js';
+import {CallOrigin} from '../request/types.js';
+import {DrainTask} from './drainTask.js';
+import {GateTask} from './gateTask.js';
+import {Lifecycle, LifecycleState} from './lifecycle.js';
+import {closeListener, getPort, openCallListener} from './listeners.js';
+import type {NodeParts} from './nodeParts.js';
 
 const TICK_MS = 50;
+const LOOPBACK = '127.0.0.1';
 
 /**
- * Sends calls to the own public port. Until the node is announced they are
- * refused after their headers were read, so the upstream sees none of them.
+ * Sends calls over loopback through the handler of the node to an echo
+ * upstream. The handler gets a gate, metrics and a state of its own, so that
+ * nothing of the warm-up is left in those that serve.
  */
-export async function runWarmUp(
-  container: Container,
-  node: BuiltNode,
-  publicCalls: Server,
-): Promise<void> {
-  const settings = container.get(PARTS.settings);
-  const {record} = container.get(PARTS.events);
-  const clock = container.get(PARTS.clock);
-  const [requestClass] = node.configuration.get().classes.keys();
-  if (settings.warmUpCalls === 0 || requestClass === undefined) return;
-  const origin = `http://${settings.address}:${getPort(publicCalls)}`;
-  const pool = node.parts.connections.find(origin, true);
-  const plan = new WarmUp(clock, settings.warmUpCalls);
+export async function runWarmUp(node: BuiltNode, calls: number): Promise<void> {
+  const {clock, record, connections} = node.parts;
+  const requestClass = findWarmUpClass(node.parts);
+  if (calls === 0 || requestClass === undefined) return;
+  const echo = await openEcho();
+  const echoOrigin = formatLoopback(echo);
+  const parts = buildWarmUpParts(node.parts, echoOrigin);
+  const own = await openCallListener(
+    (request, exchange) =>
+      handleCall(parts, CallOrigin.PEER, request, exchange),
+    0,
+    LOOPBACK,
+  );
+  const origin = formatLoopback(own);
+  const pool = connections.find(origin, true);
   const startMs = clock.readMs();
-  await new Promise<void>((resolve) => {
+  const count = await sendCalls(pool, clock, calls, requestClass);
+  connections.remove(origin);
+  connections.remove(echoOrigin);
+  await Promise.all([closeListener(own), closeListener(echo)]);
+  const elapsedMs = Math.round(clock.readMs() - startMs);
+  record(EventCode.NODE_WARMED, {calls: count, elapsedMs});
+}
+
+/** A class of the own service that may be called without a guard. */
+function findWarmUpClass(parts: NodeParts): string | undefined {
+  const classes = [...parts.configuration.get().classes.values()];
+  return classes.find(
+    ({definition}) =>
+      definition.service === parts.service &&
+      definition.guard === RepeatGuard.NONE,
+  )?.definition.name;
+}
+
+function buildWarmUpParts(parts: NodeParts, upstreamOrigin: string): NodeParts {
+  const {clock, report} = parts;
+  const lifecycle = new Lifecycle();
+  lifecycle.set(LifecycleState.ACTIVE);
+  const gate = new AdaptiveGate({
+    clock,
+    report,
+    limiter: createDefaultLimiter(WARM_UP_CONCURRENCY),
+    parameters: RECOVERY_PARAMETERS,
+  });
+  return {
+    ...parts,
+    upstreamOrigin,
+    lifecycle,
+    gate: new GateTask(gate, clock),
+    crashes: new CrashRegister(clock),
+    drain: new DrainTask(new Drain(clock, report), {
+      announceLeaving: () => undefined,
+      refuse: () => undefined,
+    }),
+    metrics: new Metrics(),
+    record: () => undefined,
+    observeWork: () => undefined,
+  };
+}
+
+function openEcho(): Promise<Server> {
+  const server = createServer((request, response) => {
+    request.resume();
+    response.writeHead(200, {'content-length': 2}).end('ok');
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(0, LOOPBACK, () => resolve(server));
+  });
+}
+
+function formatLoopback(server: Server): string {
+  return `http://${LOOPBACK}:${getPort(server)}`;
+}
+
+/** Resolves with the number of calls that ended. */
+function sendCalls(
+  pool: Dispatcher,
+  clock: Clock,
+  calls: number,
+  requestClass: string,
+): Promise<number> {
+  const plan = new WarmUp(clock, calls);
+  const sendOne = () =>
+    pool
+      .request({
+        path: '/',
+        method: 'GET',
+        headers: {
+          'sycamoreyoke-class': requestClass,
+          'sycamoreyoke-root-id': 'warm-up/0',
+        },
+      })
+      .then(({statusCode, body}) => body.dump().then(() => statusCode < 400))
+      .catch(() => false);
+  return new Promise((resolve) => {
     const apply = ({sends, end}: ReturnType<WarmUp['start']>) => {
       if (end !== undefined) {
         clearInterval(timer);
-        resolve();
+        resolve(plan.countFinished());
+      }
+      for (let count = 0; count < sends; count += 1) {
+        void sendOne().then((isSuccess) => apply(plan.finishCall(isSuccess)));
       }
-      for (let count = 0; count < sends; count += 1) void sendOne();
-    };
-    const sendOne = async () => {
-      const isSuccess = await pool
-        .request({
-          path: '/',
-          method: 'GET',
-          headers: {'sycamoreyoke-class': requestClass},
-        })
-        .then(({body}) => body.dump())
-        .then(
-          () => true,
-          () => false,
-        );
-      apply(plan.finishCall(isSuccess));
     };
     const timer = setInterval(() => apply(plan.tick()), TICK_MS);
     apply(plan.start());
   });
-  node.parts.connections.remove(origin);
-  const elapsedMs = Math.round(clock.readMs() - startMs);
-  record(EventCode.NODE_WARMED, {calls: plan.countFinished(), elapsedMs});
 }
--- a/packages/node/src/request/directoryHandler.ts
+++ b/packages/node/src/request/directoryHandler.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Member} from 'sycamoreyoke/process/types';
 import {MemberState} from 'sycamoreyoke/process/types';
+import {computePinEpoch} from 'sycamoreyoke/request/epoch';
 import type {RepeatGuard} from 'sycamoreyoke/types';
 import type {NodeParts} from '../process/nodeParts.js';
 import {checkCaller} from './callerCheck.js';
@@ -45,9 +46,7 @@
     retries: retryLimit.perRequest,
     backoffBaseMs: retryLimit.backoffBaseMs,
     backoffMaxMs: retryLimit.backoffMaxMs,
-    members: parts.router
-      .list(definition.service)
-      .filter(({state}) => state === MemberState.ACTIVE),
+    members: listMembers(parts, definition.service),
   };
   const body = Buffer.from(`${JSON.stringify(entry)}\n`);
   exchange.writeHead(200, {
@@ -56,3 +55,13 @@
   });
   exchange.end(body);
 }
+
+/** Active members, each with the epoch that a pin to it carries now. */
+function listMembers(parts: NodeParts, service: string): Member[] {
+  const nowMs = parts.clock.readMs();
+  return parts.router.list(service).flatMap((member) => {
+    const epoch = computePinEpoch(member, nowMs);
+    if (member.state !== MemberState.ACTIVE || epoch === undefined) return [];
+    return [{...member, epoch}];
+  });
+}
--- a/packages/node/src/request/egressHandler.ts
+++ b/packages/node/src/request/egressHandler.ts
@@ -105,10 +105,13 @@
   const ledger: RetryLedger | undefined = call.parent?.ledger;
   if (!ledger) return deliverCall(parts, call);
   const share = ledger.reserveCall();
+  call.parent?.calls.start();
   const delivery = await deliverCall(parts, {
     ...call,
     allowance: share.granted,
   });
+  const isShed = delivery.answer.reason === RefusalReason.OVERLOADED;
+  call.parent?.calls.finish(isShed);
   ledger.finishCall(share, delivery.retries);
   return delivery;
 }
--- a/packages/node/src/request/upstreamRun.ts
+++ b/packages/node/src/request/upstreamRun.ts
@@ -12,6 +12,7 @@
 import {ExchangeEnd, startExchange} from '../connection/exchange.js';
 import type {ExecutionEnd} from '../process/executorTask.js';
 import type {NodeParts} from '../process/nodeParts.js';
+import {ChildCalls} from '../process/runningRequests.js';
 import {collectResponseHeaders} from './httpExchange.js';
 import type {IncomingCall} from './types.js';
 
@@ -87,12 +88,18 @@
   }
   recordStart(parts, call, parts.clock.readMs() - offeredMs);
   const ledger = new RetryLedger(call.grant.allowance, parts.report);
-  parts.running.add({...call, executionId, ledger});
+  const calls = new ChildCalls(parts.clock);
+  parts.running.add({...call, executionId, ledger, calls});
   const exchange = startUpstreamExchange(parts, call, executionId);
   const result = await waitForEnd(parts, call, client, exchange, isRepeatable);
   parts.running.remove(executionId);
   const {end, completion} = decideEnd(parts, call, result);
-  parts.gate.finish(executionId, completion);
+  const isInVain = completion === Completion.FAILED && calls.isAnyShed();
+  parts.gate.finish(
+    executionId,
+    isInVain ? Completion.SHED_DOWNSTREAM : completion,
+    calls.readMs(),
+  );
   return {...end, retries: ledger.close()};
 }
 
@@ -224,11 +231,15 @@
       answer: {outcome: Outcome.DONE, response},
       isRefusedByUpstream: false,
     },
-    completion:
-      status === 503 ? Completion.SHED_BY_UPSTREAM : Completion.SUCCEEDED,
+    completion: getCompletion(status),
   };
 }
 
+function getCompletion(status: number): Completion {
+  if (status === 503) return Completion.SHED_BY_UPSTREAM;
+  return status >= 500 ? Completion.FAILED : Completion.SUCCEEDED;
+}
+
 /** The headers by which a response is checked, where they are present. */
 export function readChecks(
   headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -63,7 +63,7 @@
   container.get(PARTS.gate).start();
   await node.membership.start();
   await node.configuration.start();
-  await runWarmUp(container, node, listeners.publicCalls);
+  await runWarmUp(node, settings.warmUpCalls);
   node.pauses.start();
   node.membership.announceActive();
   lifecycle.set(LifecycleState.ACTIVE);
--- a/packages/sycamoreyoke/src/process/gate.ts
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -45,23 +45,36 @@
  * deadline are refused before they run.
  */
 export class AdaptiveGate implements Gate {
-  private readonly queues: readonly WaitQueue[];
+  private queues: readonly WaitQueue[];
+  private parameters: GateParameters;
   private readonly waiting = new Map<string, WaitingRequest>();
   private readonly running = new Map<string, RunningRequest>();
   private readonly serviceTimes = new ServiceTimes();
   private readonly estimate = new AdmissionEstimate();
   /** Counted apart from the queues, so that the assertion is independent. */
   private readonly waitingByImportance = LEVELS.map(() => 0);
-  private readonly throttle: DownstreamThrottle;
-  private readonly waitBound: WaitBound;
+  private throttle: DownstreamThrottle;
+  private waitBound: WaitBound;
   private nextSequence = 0;
 
   constructor(private readonly parts: GateParts) {
+    this.parameters = parts.parameters;
     this.queues = LEVELS.map(() => new WaitQueue(parts.parameters.order));
     this.throttle = new DownstreamThrottle(parts.parameters.downstreamHeadroom);
     this.waitBound = parts.parameters.createWaitBound();
   }
 
+  /** Decides by other parameters from now on; requests that wait stay. */
+  update(parameters: GateParameters): void {
+    this.parameters = parameters;
+    this.queues = LEVELS.map(() => new WaitQueue(parameters.order));
+    for (const request of this.waiting.values()) {
+      this.queues[request.arrival.importance]?.add(request);
+    }
+    this.throttle = new DownstreamThrottle(parameters.downstreamHeadroom);
+    this.waitBound = parameters.createWaitBound();
+  }
+
   offer(arrival: Arrival): GateAction[] {
     const nowMs = this.parts.clock.readMs();
     this.checkTicket(arrival.ticket);
@@ -78,7 +91,7 @@
     this.estimate.observeSlack(arrival, arrival.deadline - nowMs - needMs);
     this.addWaiting(arrival, nowMs);
     const actions = this.startWaiting(nowMs);
-    if (this.waiting.size > this.parts.parameters.queueLimit) {
+    if (this.waiting.size > this.parameters.queueLimit) {
       actions.push(...this.shedLeast());
     }
     return actions;
@@ -217,7 +230,7 @@
   private computeNeedMs(arrival: Arrival, nowMs: number): number {
     return this.serviceTimes.computeNeedMs(
       getKind(arrival),
-      this.parts.parameters.deviations,
+      this.parameters.deviations,
       nowMs,
     );
   }
@@ -267,7 +280,7 @@
     return {
       nowMs,
       waitingByImportance: this.waitingByImportance,
-      queueLimit: this.parts.parameters.queueLimit,
+      queueLimit: this.parameters.queueLimit,
       maxWaitMs: this.waitBound.readMs(nowMs),
       drainMsPerRequest: this.computeDrainMs(),
     };
--- a/packages/sycamoreyoke/src/process/memberTable.ts
+++ b/packages/sycamoreyoke/src/process/memberTable.ts
@@ -78,6 +78,13 @@
   position: number;
 }
 
+/** A record read from a seed lacks the start, which pins need. */
+function addStart(entry: Entry, update: MemberUpdate): void {
+  const startedMs = update.record?.startedMs;
+  if (startedMs === undefined || entry.member.startedMs !== undefined) return;
+  entry.member = {...entry.member, startedMs};
+}
+
 /** Members of a service as this process knows them. */
 export class MemberTable {
   private readonly entries = new Map<string, Entry>();
@@ -106,7 +113,10 @@
     const current = this.entries.get(update.incarnation);
     if (!current) return this.add(update, nowMs);
     const known = readStatement(current);
-    if (comparePrecedence(update, known) <= 0) return MergeResult.KNOWN;
+    if (comparePrecedence(update, known) <= 0) {
+      addStart(current, update);
+      return MergeResult.KNOWN;
+    }
     if (isAccusation(update) && !this.trusts(update.observer)) {
       const isAgreed = isGone(known.state) && known.counter === update.counter;
       return isAgreed ? MergeResult.KNOWN : MergeResult.UNVERIFIED;
