Tell seeds of a publish, drop silent call connections, note table outages

Cause: a published version waited up to 3 s for the head reader of each service; a call on a connection that went silent waited for its deadline; nothing told of a table outage.

Change: config publish announces the version to one seed of each service; an idempotent call without a response after three times the observed p99 is given up and tried again within its allowance and budget; events for the table being unavailable and available again.

The effect on silent connections was not measured in real processes.

--- a/packages/cli/src/commands/config/config.test.ts
+++ b/packages/cli/src/commands/config/config.test.ts
@@ -97,7 +97,7 @@
 async function checkExitCodes(server: Server, close: () => void) {
   const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
   const notified: number[] = [];
-  const publish = buildPublishCommand((version) => {
+  const publish = buildPublishCommand((_table, version) => {
     notified.push(version);
     return Promise.resolve();
   });
--- a/packages/cli/src/commands/config/publish.ts
+++ b/packages/cli/src/commands/config/publish.ts
@@ -8,10 +8,12 @@
   buildObjectMap,
   compareSets,
 } from 'sycamoreyoke/version/diff';
+import type {TableService} from 'sycamoreyoke/platform';
 import type {PublishedVersion} from 'sycamoreyoke/version/publish';
 import {publishEdits} from 'sycamoreyoke/version/publish';
 import {writeSnapshotIfDue} from 'sycamoreyoke/version/snapshot';
 import {readSetAt} from 'sycamoreyoke/version/tableSet';
+import {announceToSeeds} from './announceToSeeds.js';
 import {
   EXIT_CODES_HELP,
   JSON_ARGUMENT,
@@ -29,12 +31,13 @@
 } from './shared.js';
 
 /** Tells one seed of each service of a version. */
-export type NotifySeeds = (version: number) => Promise<void>;
-
-const notifyNobody: NotifySeeds = () => Promise.resolve();
+export type NotifySeeds = (
+  table: TableService,
+  version: number,
+) => Promise<void>;
 
 /** Builds the command that publishes files as the whole set. */
-export function buildPublishCommand(notifySeeds = notifyNobody) {
+export function buildPublishCommand(notify: NotifySeeds = announceToSeeds) {
   return defineCommand({
     meta: {
       name: 'publish',
@@ -81,7 +84,7 @@
             nonce: args.nonce === '' ? randomUUID() : args.nonce,
           },
         );
-        await notifySeeds(published.version);
+        await notify(table, published.version);
         // Nodes can read all rows instead: a missing snapshot is no failure.
         await writeSnapshotIfDue(store, published).catch(() => false);
         printPublished(args.json, published);
--- a/packages/node/src/buildNode.ts
+++ b/packages/node/src/buildNode.ts
@@ -301,6 +301,7 @@
     connections: container.get(PARTS.connections),
     router,
     levels: container.get(PARTS.levels),
+    latencies: container.get(PARTS.latencies),
     retryBudgets: container.get(PARTS.retryBudgets),
     observeWork: (requestId) => membership.observeWork(requestId),
     subscribe: (called) => membership.subscribe(called),
--- a/packages/node/src/connection/controlHandlers.ts
+++ b/packages/node/src/connection/controlHandlers.ts
@@ -86,7 +86,10 @@
       return {...createHead(), ...encodeConfiguration(response)};
     },
     announceVersion(wire) {
-      parts.configuration.observeAnnouncement(Number(wire.version));
+      // A peer names itself and can be asked for the change; a publisher
+      // does not, so the change is read from the table.
+      if (wire.sender) parts.observeSender(wire.sender);
+      else parts.configuration.observeAnnouncement(Number(wire.version));
       return createHead();
     },
     async submitClaims(wire) {
--- a/packages/node/src/process/nodeParts.ts
+++ b/packages/node/src/process/nodeParts.ts
@@ -17,6 +17,7 @@
 import type {GateTask} from './gateTask.js';
 import type {Lifecycle} from './lifecycle.js';
 import type {LostExecutions} from './lostExecutions.js';
+import type {MemberLatencies} from './memberLatencies.js';
 import type {PauseTask} from './pauseTask.js';
 import type {RetryBudgets} from './retryBudgets.js';
 import type {RunningRequests} from './runningRequests.js';
@@ -48,6 +49,7 @@
   readonly connections: CallConnections;
   readonly router: Router;
   readonly levels: LevelCache;
+  readonly latencies: MemberLatencies;
   readonly retryBudgets: RetryBudgets;
   /** Called for each new request that the node takes. */
   readonly observeWork: (requestId: string) => void;
--- a/packages/node/src/process/tableClient.ts
+++ b/packages/node/src/process/tableClient.ts
@@ -11,11 +11,19 @@
 /** Longest wait for an answer of the platform. */
 const PLATFORM_TIMEOUT_MS = 2_000;
 
+/** Called when the service stops answering or answers again. */
+export type AvailabilityListener = (isUp: boolean, message: string) => void;
+
 /** Client of the platform's table service. */
 export class TableClient implements TableService {
   private readonly http: Got;
 
-  constructor(url: string) {
+  private isUp = true;
+
+  constructor(
+    url: string,
+    private readonly reportAvailability: AvailabilityListener = () => undefined,
+  ) {
     this.http = got.extend({
       prefixUrl: url,
       retry: {limit: 0},
@@ -26,11 +34,9 @@
   async read(key: string): Promise<TableRow | undefined> {
     const path = `v1/table/rows/${encodeURIComponent(key)}`;
     try {
-      return await this.http.get(path).json<TableRow>();
+      return await this.sendRequest(() => this.http.get(path).json<TableRow>());
     } catch (error) {
-      if (error instanceof HTTPError && error.response.statusCode === 404) {
-        return undefined;
-      }
+      if (isNotFound(error)) return undefined;
       throw createPlatformError(error);
     }
   }
@@ -38,9 +44,11 @@
   async list(prefix: string, after: string, limit: number) {
     const searchParams = {prefix, after, limit};
     try {
-      const body = await this.http
-        .get('v1/table/rows', {searchParams})
-        .json<{rows: TableRow[]}>();
+      const body = await this.sendRequest(() =>
+        this.http
+          .get('v1/table/rows', {searchParams})
+          .json<{rows: TableRow[]}>(),
+      );
       return body.rows;
     } catch (error) {
       throw createPlatformError(error);
@@ -49,13 +57,36 @@
 
   async run(transaction: TableTransaction): Promise<TransactionResult> {
     try {
-      return await this.http
-        .post('v1/table/transactions', {json: transaction})
-        .json<TransactionResult>();
+      return await this.sendRequest(() =>
+        this.http
+          .post('v1/table/transactions', {json: transaction})
+          .json<TransactionResult>(),
+      );
     } catch (error) {
       throw createPlatformError(error);
     }
   }
+
+  private async sendRequest<T>(send: () => Promise<T>): Promise<T> {
+    try {
+      const result = await send();
+      this.setAvailability(true, '');
+      return result;
+    } catch (error) {
+      this.setAvailability(isNotFound(error), (error as Error).message);
+      throw error;
+    }
+  }
+
+  private setAvailability(isUp: boolean, message: string): void {
+    if (isUp === this.isUp) return;
+    this.isUp = isUp;
+    this.reportAvailability(isUp, message);
+  }
+}
+
+function isNotFound(error: unknown): boolean {
+  return error instanceof HTTPError && error.response.statusCode === 404;
 }
 
 function createPlatformError(error: unknown): Error {
--- a/packages/node/src/request/egressCall.ts
+++ b/packages/node/src/request/egressCall.ts
@@ -148,7 +148,7 @@
   const startMs = parts.clock.readMs();
   recordRouted(parts, call, member, attempt);
   parts.router.start(member.incarnation);
-  const result = await exchangeWith(parts, call, member, share);
+  const result = await exchangeWith(parts, call, member, ledger, share);
   const end = decideEnd(parts, call, member, result, ledger, share);
   parts.router.finish(
     member.incarnation,
@@ -191,6 +191,7 @@
   parts: NodeParts,
   call: OutgoingRequest,
   member: Member,
+  ledger: RetryLedger,
   share: Reservation,
 ): Promise<ExchangeResult> {
   const {definition} = call.compiledClass;
@@ -208,12 +209,21 @@
       body: call.body,
     },
   );
+  const canRetry = isRepeatable && ledger.readFree() > 0;
+  const silenceMs = canRetry
+    ? parts.latencies.computeTimeout(member.incarnation)
+    : Infinity;
   const timer = setTimeout(
-    () => exchange.cancel('the deadline passed'),
-    Math.max(0, remainingMs),
+    () => exchange.cancel('no response in time'),
+    Math.max(0, Math.min(remainingMs, silenceMs)),
   );
+  const startMs = parts.clock.readMs();
   const result = await exchange.result;
   clearTimeout(timer);
+  if (result.end === ExchangeEnd.RESPONSE) {
+    const latencyMs = parts.clock.readMs() - startMs;
+    parts.latencies.record(member.incarnation, latencyMs);
+  }
   return result;
 }
 
--- a/packages/node/src/wiring.ts
+++ b/packages/node/src/wiring.ts
@@ -29,6 +29,7 @@
 import {GateTask} from './process/gateTask.js';
 import {Lifecycle} from './process/lifecycle.js';
 import {LostExecutions} from './process/lostExecutions.js';
+import {MemberLatencies} from './process/memberLatencies.js';
 import {ObjectStoreClient} from './process/objectStoreClient.js';
 import {RetryBudgets} from './process/retryBudgets.js';
 import {RunningRequests} from './process/runningRequests.js';
@@ -61,6 +62,7 @@
   gate: identify<GateTask>('gate'),
   router: identify<Router>('router'),
   levels: identify<LevelCache>('levels'),
+  latencies: identify<MemberLatencies>('latencies'),
   retryBudgets: identify<RetryBudgets>('retryBudgets'),
   entryLedger: identify<EntryLedger>('entryLedger'),
   crashes: identify<CrashRegister>('crashes'),
@@ -138,6 +140,7 @@
       }),
   );
   bind(PARTS.levels, () => new LevelCache(get(PARTS.clock), get(PARTS.random)));
+  bind(PARTS.latencies, () => new MemberLatencies(get(PARTS.clock)));
   bind(PARTS.retryBudgets, () => new RetryBudgets(get(PARTS.clock)));
   bind(
     PARTS.entryLedger,
@@ -165,7 +168,15 @@
 }
 
 function bindConnections(get: Get, bind: Bind, settings: NodeSettings) {
-  bind(PARTS.table, () => new TableClient(settings.tableUrl));
+  bind(PARTS.table, () => {
+    const {record} = get(PARTS.events);
+    return new TableClient(settings.tableUrl, (isUp, message) => {
+      const code = isUp
+        ? EventCode.PLATFORM_AVAILABLE
+        : EventCode.PLATFORM_UNAVAILABLE;
+      record(code, {service: 'table', message});
+    });
+  });
   bind(PARTS.objectStore, () => new ObjectStoreClient(settings.objectStoreUrl));
   bind(
     PARTS.combiner,
