--- a/packages/cli/src/commands/load.ts
+++ b/packages/cli/src/commands/load.ts
@@ -115,6 +115,7 @@
       entries: Object.values(options.entries).flat(),
       dataCentre,
     });
+    process.stderr.write('started\n');
     const records = await runLoad(
       options,
       createRandom(seed),
