Do not let a caller speak for another, end the node after a drain

Change: root id and time are honoured on the peer port only; the caller library remembers pin, key and attempt of guarded requests and returns them as a token; the node ends itself once a drain has closed; look-ups are refused with an answer; unused events are gone.

--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -24,7 +24,13 @@
 import {Directory} from './process/directory.js';
 import type {SendEnd} from './request/send.js';
 import {sendOnce} from './request/send.js';
-import type {CallRequest, CallResult, CallerOptions} from './types.js';
+import {ResumeMemory} from './process/resumeMemory.js';
+import type {
+  CallRequest,
+  CallResult,
+  CallerOptions,
+  ResumeToken,
+} from './types.js';
 
 const CONNECTIONS_PER_NODE = 200;
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -50,6 +56,7 @@
   private readonly dispatcher: Dispatcher;
   private readonly router: Router;
   private readonly directory: Directory;
+  private readonly memory = new ResumeMemory();
 
   constructor(
     private readonly options: CallerOptions,
@@ -84,8 +91,11 @@
       entry,
       request,
       requestId,
+      request.resume ?? this.memory.get(request.requestClass, requestId),
+    );
+    const result = await call.run((token) =>
+      this.memory.set(request.requestClass, requestId, token),
     );
-    const result = await call.run();
     if (result.reason === RefusalReason.WRONG_INCARNATION) {
       void this.directory.refresh(request.requestClass).catch(() => undefined);
     }
@@ -123,18 +133,25 @@
     private readonly entry: ClassEntry,
     private readonly request: CallRequest,
     private readonly requestId: string,
+    private readonly resume: ResumeToken | undefined,
   ) {
     const timeoutMs = request.timeoutMs ?? entry.timeoutMs;
     this.deadline = parts.clock.readMs() + timeoutMs;
     this.ledger = new RetryLedger(entry.retries, reportByThrowing);
     const isClaimed = entry.guard === RepeatGuard.CLAIM;
-    this.idempotencyKey = isClaimed ? createUuid() : undefined;
+    this.idempotencyKey = isClaimed
+      ? (resume?.idempotencyKey ?? createUuid())
+      : undefined;
+    this.pinned = entry.guard === RepeatGuard.PIN ? resume?.pinned : undefined;
   }
 
-  async run(): Promise<CallResult> {
+  /** `keep` takes the token before each send of a guarded request. */
+  async run(keep: (token: ResumeToken) => void): Promise<CallResult> {
     for (;;) {
       const member = this.chooseMember();
       if (!member) break;
+      const token = this.buildToken();
+      if (token) keep(token);
       this.last = await this.sendTo(member);
       const delayMs = this.decideDelay();
       if (delayMs === undefined) break;
@@ -156,7 +173,7 @@
 
   private async sendTo(member: Member): Promise<SendEnd> {
     const {clock} = this.parts;
-    const attempt = computeNextAttempt(this.sends);
+    const attempt = this.computeAttempt();
     const share = this.ledger.reserveAttempt();
     const startMs = clock.readMs();
     const remainingMs = this.deadline - startMs;
@@ -181,6 +198,24 @@
     return end;
   }
 
+  private computeAttempt(): number {
+    const {nextAttempt = 0} = this.resume ?? {};
+    return Math.max(nextAttempt, computeNextAttempt(this.sends));
+  }
+
+  private buildToken(): ResumeToken | undefined {
+    if (this.entry.guard === RepeatGuard.NONE) return undefined;
+    return {...this.buildResume(), nextAttempt: this.computeAttempt() + 1};
+  }
+
+  private buildResume(): Omit<ResumeToken, 'nextAttempt'> {
+    const {pinned, idempotencyKey} = this;
+    return {
+      ...(pinned === undefined ? {} : {pinned}),
+      ...(idempotencyKey === undefined ? {} : {idempotencyKey}),
+    };
+  }
+
   private buildGuard(): {pin?: Pin; idempotencyKey?: string} {
     const {pinned, idempotencyKey} = this;
     if (pinned) {
@@ -199,7 +234,9 @@
     }
     const delayMs = this.decideRetryDelay();
     if (delayMs === undefined || !this.ledger.takeRetry()) return undefined;
-    if (isFreeToMove(this.sends, this.entry.idempotent)) {
+    // Earlier calls of the same request may have left sends without an answer.
+    const isFirstCall = this.resume === undefined;
+    if (isFirstCall && isFreeToMove(this.sends, this.entry.idempotent)) {
       this.pinned = undefined;
     }
     return delayMs;
@@ -241,7 +278,9 @@
         ? mergeOutcomes(this.sends)
         : createRefusalAnswer(RefusalReason.NO_MEMBER);
     const {status, headers, body} = this.last;
+    const resume = this.buildToken();
     return {
+      ...(resume === undefined ? {} : {resume}),
       requestId: this.requestId,
       outcome: merged.outcome,
       ...(merged.reason === undefined ? {} : {reason: merged.reason}),
--- a/packages/caller/src/types.ts
+++ b/packages/caller/src/types.ts
@@ -1,5 +1,16 @@
+import type {Member} from 'sycamoreyoke/process/types';
 import type {Outcome, RefusalReason} from 'sycamoreyoke/types';
 
+/**
+ * What a later send of the same guarded request needs, so that it cannot run a
+ * second time. An application that may send again after a restart keeps it.
+ */
+export interface ResumeToken {
+  readonly pinned?: Member;
+  readonly idempotencyKey?: string;
+  readonly nextAttempt: number;
+}
+
 /** A request of the application. */
 export interface CallRequest {
   readonly requestClass: string;
@@ -11,6 +22,8 @@
   readonly body?: Uint8Array;
   /** In milliseconds; the time limit of the class when absent. */
   readonly timeoutMs?: number;
+  /** From the result of an earlier send of the same request. */
+  readonly resume?: ResumeToken;
 }
 
 /** What became of a request. */
@@ -25,6 +38,8 @@
   readonly sends: number;
   /** Retries used across the whole call chain. */
   readonly retries: number;
+  /** Present for guarded classes. */
+  readonly resume?: ResumeToken;
 }
 
 /** Who calls, and where the first node is found. */
--- a/packages/node/src/process/drainTask.ts
+++ b/packages/node/src/process/drainTask.ts
@@ -21,13 +21,14 @@
     private readonly handlers: DrainHandlers,
   ) {}
 
-  /** Leaves; resolves when the listeners may be closed. */
-  stopNode(): Promise<void> {
-    const closed = new Promise<void>((resolve) =>
-      this.closeWaiting.push(resolve),
-    );
+  /** Leaves; the node ends once nothing is in flight. */
+  stopNode(): void {
     this.start(this.drain.stopNode());
-    return closed;
+  }
+
+  /** Resolves when the listeners may be closed, whatever started it. */
+  waitClosed(): Promise<void> {
+    return new Promise((resolve) => this.closeWaiting.push(resolve));
   }
 
   /** Leaves; resolves when the upstream runs nothing any more. */
--- a/packages/node/src/process/eventLog.ts
+++ b/packages/node/src/process/eventLog.ts
@@ -4,10 +4,7 @@
 import type {EventSink, TimelineEvent} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 
-const ERRORS = new Set([
-  EventCode.SETTINGS_INVALID,
-  EventCode.INVARIANT_VIOLATED,
-]);
+const ERRORS = new Set([EventCode.INVARIANT_VIOLATED]);
 
 const WARNINGS = new Set([
   EventCode.NODE_PAUSED,
--- a/packages/node/src/request/callHandler.ts
+++ b/packages/node/src/request/callHandler.ts
@@ -10,10 +10,19 @@
 import {sendAnswer} from './httpExchange.js';
 import {readHeaders, readIncomingCall} from './incomingCall.js';
 import {RefusedRequest, createRefusal} from './refusal.js';
-import type {CallOrigin, IncomingCall} from './types.js';
+import type {IncomingCall} from './types.js';
+import {CallOrigin} from './types.js';
 import type {UpstreamRun} from './upstreamRun.js';
 import {runOnUpstream} from './upstreamRun.js';
 
+/** Reasons by which the caller learns that its request is wrong. */
+const MALFORMED_REASONS: ReadonlySet<string> = new Set([
+  RefusalReason.MALFORMED,
+  RefusalReason.UNAUTHENTICATED,
+  RefusalReason.FORBIDDEN,
+  RefusalReason.TOO_LARGE,
+]);
+
 /** The end of a call, with the retries that were used to serve it. */
 interface CallEnd {
   readonly answer: SendAnswer;
@@ -37,7 +46,7 @@
   try {
     const headers = readHeaders(request);
     requestId = headers.requestId ?? requestId;
-    observeTime(parts, headers);
+    if (origin === CallOrigin.PEER) observeTime(parts, headers);
     const call = await readIncomingCall(parts, origin, request, headers);
     requestId = call.requestId;
     recordAdmitted(parts, call);
@@ -171,6 +180,10 @@
     parts.record(EventCode.REQUEST_FINISHED, details, requestId);
   } else {
     const details = {outcome, reason, message};
-    parts.record(EventCode.REQUEST_REFUSED, details, requestId);
+    const isMalformed = MALFORMED_REASONS.has(reason);
+    const code = isMalformed
+      ? EventCode.REQUEST_MALFORMED
+      : EventCode.REQUEST_REFUSED;
+    parts.record(code, details, requestId);
   }
 }
--- a/packages/node/src/request/directoryHandler.ts
+++ b/packages/node/src/request/directoryHandler.ts
@@ -6,7 +6,9 @@
 import type {RepeatGuard} from 'sycamoreyoke/types';
 import type {NodeParts} from '../process/nodeParts.js';
 import {checkCaller} from './callerCheck.js';
+import {sendAnswer} from './httpExchange.js';
 import {findClass, readHeaders} from './incomingCall.js';
+import {RefusedRequest} from './refusal.js';
 
 /** Path of the directory on the public and the local port. */
 export const DIRECTORY_PATH = '/.well-known/sycamoreyoke/directory';
@@ -32,13 +34,33 @@
   isLocal: boolean,
 ): Promise<void> {
   request.resume();
+  try {
+    const entry = await findEntry(parts, request, isLocal);
+    const body = Buffer.from(`${JSON.stringify(entry)}\n`);
+    exchange.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': body.length,
+    });
+    exchange.end(body);
+  } catch (error) {
+    if (!(error instanceof RefusedRequest)) throw error;
+    const added = {requestId: 'none', retries: 0};
+    sendAnswer(exchange, error.answer, added, error.message);
+  }
+}
+
+async function findEntry(
+  parts: NodeParts,
+  request: IncomingMessage,
+  isLocal: boolean,
+): Promise<DirectoryEntry> {
   const headers = readHeaders(request);
   if (!isLocal) {
     checkCaller(parts.configuration.get(), headers, parts.tokenDigests);
   }
   const {definition, retryLimit} = findClass(parts, headers);
   await parts.subscribe(definition.service);
-  const entry: DirectoryEntry = {
+  return {
     service: definition.service,
     idempotent: definition.idempotent,
     guard: definition.guard,
@@ -48,12 +70,6 @@
     backoffMaxMs: retryLimit.backoffMaxMs,
     members: listMembers(parts, definition.service),
   };
-  const body = Buffer.from(`${JSON.stringify(entry)}\n`);
-  exchange.writeHead(200, {
-    'content-type': 'application/json',
-    'content-length': body.length,
-  });
-  exchange.end(body);
 }
 
 /** Active members, each with the epoch that a pin to it carries now. */
--- a/packages/node/src/request/incomingCall.ts
+++ b/packages/node/src/request/incomingCall.ts
@@ -59,7 +59,7 @@
   return {
     requestId: headers.requestId ?? requestId,
     identity,
-    rootId: headers.rootId ?? `${caller.name}/${requestId}`,
+    rootId: readRootId(origin, headers, `${caller.name}/${requestId}`),
     headers,
     compiledClass,
     importance: readImportance(origin, headers, compiledClass),
@@ -159,6 +159,15 @@
   );
 }
 
+/** A caller outside cannot speak for another one. */
+function readRootId(
+  origin: CallOrigin,
+  headers: CallHeaders,
+  ownId: string,
+): string {
+  return origin === CallOrigin.PEER ? (headers.rootId ?? ownId) : ownId;
+}
+
 /** Only nodes may raise the importance above that of the class. */
 function readImportance(
   origin: CallOrigin,
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -30,6 +30,8 @@
 export interface RunningNode {
   readonly self: Member;
   readonly localPort: number;
+  /** Resolves when the node has ended, by a stop or by its upstream's drain. */
+  readonly closed: Promise<void>;
   /** Leaves gracefully; resolves once nothing is in flight. */
   stop(): Promise<void>;
 }
@@ -68,15 +70,22 @@
   node.membership.announceActive();
   lifecycle.set(LifecycleState.ACTIVE);
   record(EventCode.NODE_READY, {version: node.configuration.get().version});
+  const closed = node.drain
+    .waitClosed()
+    .then(() => closeNode(container, node, listeners));
   return {
     self,
     localPort: getPort(listeners.localCalls),
-    stop: () => stopNode(container, node, listeners),
+    closed,
+    stop: () => {
+      node.drain.stopNode();
+      return closed;
+    },
   };
 }
 
 /** Cuts no request in flight: each task ends after those that need it. */
-async function stopNode(
+async function closeNode(
   container: Container,
   node: BuiltNode,
   listeners: Listeners,
@@ -84,7 +93,6 @@
   const clock = container.get(PARTS.clock);
   const {record} = container.get(PARTS.events);
   const startMs = clock.readMs();
-  await node.drain.stopNode();
   const {publicCalls, peerCalls, localCalls, admin, control} = listeners;
   await Promise.all([publicCalls, peerCalls, localCalls].map(closeListener));
   node.pauses.stop();
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -39,7 +39,6 @@
     'calls',
     'elapsedMs: ms',
   ),
-  [EventCode.SETTINGS_INVALID]: describe('A setting is wrong.', 'findings'),
   [EventCode.REQUEST_ADMITTED]: describe(
     'A call passed its checks and was offered to the gate.',
     'caller',
@@ -48,10 +47,6 @@
     'timeoutMs: remaining time, ms',
     'allowance: retries that the call may use',
   ),
-  [EventCode.REQUEST_QUEUED]: describe(
-    'The call waits for a slot.',
-    'waiting: calls that wait',
-  ),
   [EventCode.REQUEST_REFUSED]: describe(
     'The call was answered without a response of the upstream.',
     'outcome',
@@ -115,10 +110,6 @@
     'A connection that went silent was replaced.',
     'origin',
   ),
-  [EventCode.LIMIT_CHANGED]: describe(
-    'The gate changed its concurrency limit by a tenth or more.',
-    'limit: requests',
-  ),
   [EventCode.CLAIM_MADE]: describe(
     'The row of an idempotency key is held by this node.',
     'elapsedMs: ms',
@@ -132,9 +123,6 @@
     'A claim was given up because its request did not run.',
     'attempt',
   ),
-  [EventCode.CLAIM_RECOGNISED]: describe(
-    'A claim whose response was lost was recognised by its nonce.',
-  ),
   [EventCode.MEMBER_JOINED]: describe(
     'A member of the service was learned.',
     'member',
@@ -155,10 +143,6 @@
     'member',
     'service',
   ),
-  [EventCode.MEMBER_REFUTED]: describe(
-    'The node refuted a wrong report on itself.',
-    'counter',
-  ),
   [EventCode.CONFIGURATION_ADOPTED]: describe(
     'A newer configuration is in force.',
     'version',
--- a/packages/sycamoreyoke/src/process/events.test.ts
+++ b/packages/sycamoreyoke/src/process/events.test.ts
@@ -8,9 +8,9 @@
   const clock = new VirtualClock();
   const ring = new EventRing('a', new HybridClock(clock), undefined, 3);
   for (let count = 0; count < 5; count += 1) {
-    ring.record(EventCode.REQUEST_QUEUED, {waiting: count});
+    ring.record(EventCode.REQUEST_JOINED, {attempt: count});
   }
-  expect(ring.list().map(({details}) => details['waiting'])).to.deep.equal([
+  expect(ring.list().map(({details}) => details['attempt'])).to.deep.equal([
     2, 3, 4,
   ]);
 });
