--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -14,6 +14,7 @@
     timeline: async () =>
       (await import('./commands/timeline.js')).timelineCommand,
     explain: async () => (await import('./commands/explain.js')).explainCommand,
+    load: async () => (await import('./commands/load.js')).loadCommand,
     'stand-in': async () =>
       (await import('./commands/standIn/standIn.js')).standInCommand,
   },
