Add the demo

Change: npm run demo starts 8 upstreams and 8 nodes, applies surge, slow photos and hard resends, kills a node, drains another and checks the invariants. The launcher also ends processes that are not ready yet.

--- /dev/null
+++ b/packages/bench/src/demo.ts
@@ -0,0 +1,135 @@
+/** Runs a small deployment under overload and failures and checks it. */
+import {mkdir} from 'node:fs/promises';
+import {setTimeout as wait} from 'node:timers/promises';
+import type {Execution} from '@sycamoreyoke/standins/upstream/executions';
+import {request} from 'undici';
+import {runCallers} from './demo/callers.js';
+import {checkEvidence} from './demo/checks.js';
+import {Collector} from './demo/collector.js';
+import {
+  DRAIN_AT_MS,
+  KILL_AT_MS,
+  RESULT_FOLDER,
+  SLOW_PHOTOS_MS,
+  STOP_TIMEOUT_MS,
+  TRIGGER_END_MS,
+  TRIGGER_START_MS,
+} from './demo/constants.js';
+import {DemoCaller, SERVICES, listClasses} from './demo/deployment.js';
+import type {DemoPair} from './demo/fleet.js';
+import {DemoFleet} from './demo/fleet.js';
+import {renderProgress, renderSummary} from './demo/report.js';
+import {Launcher} from './fleet/launcher.js';
+
+const TIMELINE = `${RESULT_FOLDER}/timeline.jsonl`;
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function findPair(fleet: DemoFleet, service: string): DemoPair {
+  const [pair] = fleet.findPairs(service);
+  if (!pair) throw new Error(`service "${service}" has no node`);
+  return pair;
+}
+
+/**
+ * Slows photos down, kills one node and drains one upstream, in time; gives
+ * the exit code of the drained node.
+ */
+async function runFaults(
+  fleet: DemoFleet,
+  collector: Collector,
+): Promise<number | null> {
+  const startMs = performance.now();
+  const waitUntil = (atMs: number) =>
+    wait(Math.max(0, startMs + atMs - performance.now()));
+  const photos = SERVICES.find(({name}) => name === 'photos');
+  await waitUntil(TRIGGER_START_MS);
+  print(`trigger: surge, photos take ${SLOW_PHOTOS_MS} ms, hard resends`);
+  await fleet.setBehaviour('photos', {serviceTimeMs: SLOW_PHOTOS_MS});
+  await waitUntil(TRIGGER_END_MS);
+  const serviceTimeMs = photos?.serviceTimeMs ?? 0;
+  await fleet.setBehaviour('photos', {serviceTimeMs});
+  print('the trigger has ended');
+  await waitUntil(KILL_AT_MS);
+  const killed = findPair(fleet, 'pattern-library');
+  await collector.collect();
+  await fleet.kill(killed);
+  print(`killed ${killed.node}`);
+  await waitUntil(DRAIN_AT_MS);
+  const drained = findPair(fleet, 'booking-and-donations');
+  await collector.collect();
+  const drainMs = performance.now();
+  const code = await fleet.drain(drained);
+  const tookMs = Math.round(performance.now() - drainMs);
+  print(`drained ${drained.node} in ${tookMs} ms, exit code ${code ?? 'none'}`);
+  return code;
+}
+
+async function listExecutions(fleet: DemoFleet): Promise<Execution[]> {
+  const lists = await Promise.all(
+    fleet.pairs.map(async ({upstreamUrl}) => {
+      const response = await request(`${upstreamUrl}/stand-in/executions`);
+      const content = await response.body.json();
+      return (content as {executions: Execution[]}).executions;
+    }),
+  );
+  return lists.flat();
+}
+
+/** Runs the demo; true when every invariant held. */
+async function runDemo(launcher: Launcher): Promise<boolean> {
+  const startedMs = performance.now();
+  print('starting the platform, 8 upstreams and 8 nodes');
+  const fleet = await DemoFleet.start(launcher);
+  const startMs = performance.now();
+  print(`ready after ${Math.round(startMs - startedMs)} ms`);
+  const collector = new Collector(fleet.pairs.map(({self}) => self));
+  const latest = new Map<string, string>();
+  let markStarted = () => undefined as void;
+  const started = new Promise<void>((resolve) => (markStarted = resolve));
+  collector.start();
+  const [records, drainExitCode] = await Promise.all([
+    runCallers(launcher, fleet.listEntries(), (caller, line) => {
+      if (line === 'started' && caller === DemoCaller.DESK) markStarted();
+      if (!line.endsWith(' whole')) return;
+      latest.set(caller, line);
+      if (caller !== DemoCaller.DESK) return;
+      print(renderProgress(latest, performance.now() - startMs));
+    }),
+    started.then(() => runFaults(fleet, collector)),
+  ]).finally(() => collector.stop());
+  await collector.collect();
+  await collector.write(TIMELINE);
+  const classes = listClasses();
+  const evidence = {
+    records,
+    executions: await listExecutions(fleet),
+    events: collector.listEvents(),
+    drainExitCode,
+    gaps: collector.countGaps(),
+    counted: collector.countViolations(),
+  };
+  const checks = checkEvidence(evidence, classes);
+  print(`\n${renderSummary(evidence, classes, checks)}`);
+  print(`timeline: ${TIMELINE} (${evidence.events.length} events)`);
+  return checks.every(({violations}) => violations === 0);
+}
+
+await mkdir(RESULT_FOLDER, {recursive: true});
+const launcher = new Launcher(RESULT_FOLDER, STOP_TIMEOUT_MS);
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => {
+    void launcher.stopAll().then(() => process.exit(1));
+  });
+}
+let hasHeld = false;
+try {
+  hasHeld = await runDemo(launcher);
+} catch (error) {
+  process.stderr.write(`demo failed: ${(error as Error).stack ?? ''}\n`);
+} finally {
+  await launcher.stopAll();
+}
+process.exit(hasHeld ? 0 : 1);
--- /dev/null
+++ b/packages/bench/src/demo/callers.ts
@@ -0,0 +1,100 @@
+/** The callers of the demo: one that resends hard, one with the library. */
+import {readFile, rm, writeFile} from 'node:fs/promises';
+import type {ClassLoad, LoadOptions} from '@sycamoreyoke/standins/load/options';
+import {SendMode, loadSchema} from '@sycamoreyoke/standins/load/options';
+import type {RequestRecord} from '@sycamoreyoke/standins/load/records';
+import type {Launcher} from '../fleet/launcher.js';
+import {
+  DURATION_MS,
+  HARD_RESENDS,
+  RESULT_FOLDER,
+  SURGE_FACTOR,
+  TRIGGER_MS,
+  TRIGGER_START_MS,
+} from './constants.js';
+import {DemoCaller, buildToken, listServiceOfClass} from './deployment.js';
+
+type Load = Pick<ClassLoad, 'requestClass' | 'perSecond' | 'timeoutMs'> &
+  Partial<ClassLoad>;
+
+const HARD = {mode: SendMode.PLAIN, resends: HARD_RESENDS} as const;
+const LIBRARY = {mode: SendMode.LIBRARY} as const;
+
+const LOADS: Readonly<Record<DemoCaller, readonly Load[]>> = {
+  [DemoCaller.SITE]: [
+    {requestClass: 'read-status', perSecond: 60, timeoutMs: 1_000, ...HARD},
+    {requestClass: 'refresh-status', perSecond: 60, timeoutMs: 1_000, ...HARD},
+    {
+      requestClass: 'donate',
+      perSecond: 6,
+      timeoutMs: 5_000,
+      idempotencyKey: true,
+      ...HARD,
+    },
+  ],
+  [DemoCaller.DESK]: [
+    {requestClass: 'book-resole', perSecond: 10, timeoutMs: 5_000, ...LIBRARY},
+    {
+      requestClass: 'fetch-pattern',
+      perSecond: 30,
+      timeoutMs: 2_000,
+      ...LIBRARY,
+    },
+    {requestClass: 'fetch-photo', perSecond: 30, timeoutMs: 2_000, ...LIBRARY},
+  ],
+};
+
+/** Where the callers find the nodes. */
+export type Entries = Readonly<Record<string, string[]>>;
+
+function buildOptions(caller: DemoCaller, entries: Entries): LoadOptions {
+  return loadSchema.parse({
+    caller,
+    token: buildToken(caller),
+    entries,
+    classes: LOADS[caller],
+    serviceOfClass: listServiceOfClass(),
+    durationMs: DURATION_MS,
+    surge: {
+      startMs: TRIGGER_START_MS,
+      durationMs: TRIGGER_MS,
+      factor: SURGE_FACTOR,
+    },
+  });
+}
+
+/** Called with each line that a caller prints. */
+export type LineObserver = (caller: DemoCaller, line: string) => void;
+
+/** Runs both callers, each a process, and returns their records. */
+export async function runCallers(
+  launcher: Launcher,
+  entries: Entries,
+  observe: LineObserver,
+): Promise<RequestRecord[]> {
+  const lists = await Promise.all(
+    Object.values(DemoCaller).map((caller) =>
+      runCaller(launcher, caller, entries, (line) => observe(caller, line)),
+    ),
+  );
+  return lists.flat();
+}
+
+async function runCaller(
+  launcher: Launcher,
+  caller: DemoCaller,
+  entries: Entries,
+  observe: (line: string) => void,
+): Promise<RequestRecord[]> {
+  const plan = `${RESULT_FOLDER}/${caller}-plan.json`;
+  const out = `${RESULT_FOLDER}/${caller}-records.json`;
+  await writeFile(plan, JSON.stringify(buildOptions(caller, entries)));
+  // A run that fails must not leave the records of an earlier one.
+  await rm(out, {force: true});
+  await launcher.run(
+    `load-${caller}`,
+    ['load', '--plan', plan, '--out', out, '--data-centre', 'oviedo'],
+    observe,
+  );
+  return JSON.parse(await readFile(out, 'utf8')) as RequestRecord[];
+}
--- /dev/null
+++ b/packages/bench/src/demo/checks.test.ts
@@ -0,0 +1,135 @@
+import {expect} from 'chai';
+import type {RequestRecord} from '@sycamoreyoke/standins/load/records';
+import type {TimelineEvent} from 'sycamoreyoke/process/events';
+import {EventCode} from 'sycamoreyoke/process/events';
+import {Outcome} from 'sycamoreyoke/types';
+import {checkEvidence} from './checks.js';
+import {parseViolations} from './collector.js';
+import {listClasses} from './deployment.js';
+import type {DemoEvidence} from './types.js';
+
+const ID = '6f1c2a52-8a5e-4f6e-9c3b-0d7c1f2a3b4c';
+const OTHER_ID = '0a1c2a52-8a5e-4f6e-9c3b-0d7c1f2a3b4c';
+
+function createRecord(given: Partial<RequestRecord>): RequestRecord {
+  return {
+    requestId: ID,
+    requestClass: 'donate',
+    startMs: 0,
+    latencyMs: 5,
+    sends: 1,
+    outcome: Outcome.DONE,
+    status: 200,
+    retries: 0,
+    isWhole: true,
+    isForeign: false,
+    ...given,
+  };
+}
+
+function createEvent(given: Partial<TimelineEvent>): TimelineEvent {
+  return {
+    time: {wallMs: 100, counter: 0},
+    process: 'photos/a',
+    code: EventCode.REQUEST_STARTED,
+    requestId: OTHER_ID,
+    details: {},
+    ...given,
+  };
+}
+
+/** Names of the checks that fail. */
+function listFailures(given: Partial<DemoEvidence>): string[] {
+  const evidence: DemoEvidence = {
+    records: [createRecord({})],
+    executions: [
+      {requestId: ID, requestClass: 'donate', started: 1, finished: 1},
+    ],
+    events: [],
+    gaps: 0,
+    drainExitCode: 0,
+    counted: new Map(),
+    ...given,
+  };
+  return checkEvidence(evidence, listClasses())
+    .filter(({violations}) => violations > 0)
+    .map(({name}) => name);
+}
+
+const SHED = createEvent({
+  code: EventCode.REQUEST_REFUSED,
+  requestId: `${ID}-0-0`,
+  details: {reason: 'overloaded'},
+});
+
+// Guards against checks that fail a run in which nothing went wrong.
+it('finds nothing in a clean run', () => {
+  expect(listFailures({})).to.deep.equal([]);
+});
+
+// Guards against a donation that is charged by two upstreams.
+it('adds up runs over all upstreams', () => {
+  const run = {requestId: ID, requestClass: 'donate', started: 1, finished: 1};
+  expect(listFailures({executions: [run, run]})).to.deep.equal([
+    'non-idempotent request ran more than once',
+  ]);
+});
+
+// Guards against a fault report for a photo that was fetched twice.
+it('lets an idempotent request run twice', () => {
+  const requestClass = 'fetch-photo';
+  const run = {requestId: ID, requestClass, started: 2, finished: 2};
+  expect(listFailures({executions: [run]})).to.deep.equal([]);
+});
+
+// Guards against an answer "not run" for a request that an upstream ran.
+it('compares answers with executions', () => {
+  const records = [createRecord({outcome: Outcome.NOT_RUN, isWhole: false})];
+  expect(listFailures({records})).to.deep.equal([
+    'answered as not run, but ran',
+  ]);
+});
+
+// Guards against a response of another request that passes for a failure.
+it('reports foreign responses', () => {
+  const records = [createRecord({isForeign: true})];
+  expect(listFailures({records})).to.deep.equal([
+    'response of another request',
+  ]);
+});
+
+// Guards against retries that multiply from hop to hop.
+it('compares retries with the limit of the class', () => {
+  const records = [createRecord({retries: 3})];
+  expect(listFailures({records})).to.deep.equal(['retries above the bound']);
+});
+
+// Guards against a call for a booking that is shed before lesser work.
+it('reports a lesser start after a critical shed', () => {
+  const start = createEvent({time: {wallMs: 110, counter: 0}});
+  expect(listFailures({events: [SHED, start]})).to.deep.equal([
+    'critical request shed while a lesser one was started',
+  ]);
+});
+
+// Guards against blaming a gate for what another gate started.
+it('compares sheds within one gate only', () => {
+  const start = createEvent({process: 'photos/b'});
+  expect(listFailures({events: [SHED, start]})).to.deep.equal([]);
+});
+
+// Guards against a drain that hangs and is ended by force.
+it('reports a drained node that had to be killed', () => {
+  expect(listFailures({drainExitCode: null})).to.deep.equal([
+    'drained node did not end by itself',
+  ]);
+});
+
+// Guards against counters of nodes that are read as zero.
+it('reads the counters of the nodes', () => {
+  const counted = parseViolations(
+    'sycamoreyoke_invariant_violations_total{invariant="at-most-once"} 2\n',
+  );
+  expect([...counted]).to.deep.equal([['at-most-once', 2]]);
+  expect(listFailures({counted})).to.deep.equal(['counted by the nodes']);
+});
--- /dev/null
+++ b/packages/bench/src/demo/checks.ts
@@ -0,0 +1,147 @@
+/** Checks the invariants on what callers, upstreams and nodes recorded. */
+import type {RequestRecord} from '@sycamoreyoke/standins/load/records';
+import type {TimelineEvent} from 'sycamoreyoke/process/events';
+import {EventCode} from 'sycamoreyoke/process/events';
+import {Outcome, RefusalReason} from 'sycamoreyoke/types';
+import type {CheckResult, DemoClass, DemoEvidence} from './types.js';
+
+const MAX_EXAMPLES = 5;
+/** Length of the UUID that a call below keeps as its beginning. */
+const ROOT_ID_LENGTH = 36;
+/**
+ * A gate that sheds a critical request may start no lesser one within one of
+ * its ticks; later the queue may have changed.
+ */
+const GATE_TICK_MS = 20;
+
+function createResult(name: string, faulty: readonly string[]): CheckResult {
+  return {
+    name,
+    violations: faulty.length,
+    examples: faulty.slice(0, MAX_EXAMPLES),
+  };
+}
+
+/** Times that each request ran, over all upstreams. */
+function countRuns({executions}: DemoEvidence): Map<string, number> {
+  const runs = new Map<string, number>();
+  for (const {requestClass, requestId, started} of executions) {
+    const key = `${requestClass}/${requestId}`;
+    runs.set(key, (runs.get(key) ?? 0) + started);
+  }
+  return runs;
+}
+
+/** Runs every check. */
+export function checkEvidence(
+  evidence: DemoEvidence,
+  classes: readonly DemoClass[],
+): CheckResult[] {
+  const {records, counted} = evidence;
+  const runs = countRuns(evidence);
+  const guarded = new Set(
+    classes.filter(({isIdempotent}) => !isIdempotent).map(({name}) => name),
+  );
+  const limits = new Map(classes.map(({name, retries}) => [name, retries]));
+  const listIds = (isFaulty: (record: RequestRecord) => boolean) =>
+    records.filter(isFaulty).map(({requestId}) => requestId);
+  return [
+    createResult(
+      'counted by the nodes',
+      [...counted].flatMap(([name, count]) => Array<string>(count).fill(name)),
+    ),
+    createResult(
+      'non-idempotent request ran more than once',
+      [...runs]
+        .filter(([key, count]) => {
+          const [requestClass = ''] = key.split('/');
+          return count > 1 && guarded.has(requestClass);
+        })
+        .map(([key]) => key),
+    ),
+    createResult(
+      'answered as not run, but ran',
+      listIds(
+        ({outcome, requestClass, requestId}) =>
+          outcome === Outcome.NOT_RUN &&
+          runs.has(`${requestClass}/${requestId}`),
+      ),
+    ),
+    createResult(
+      'response of another request',
+      listIds(({isForeign}) => isForeign),
+    ),
+    createResult(
+      'critical request shed while a lesser one was started',
+      findUnfairSheds(evidence, classes),
+    ),
+    createResult(
+      'drained node did not end by itself',
+      evidence.drainExitCode === 0 ? [] : [String(evidence.drainExitCode)],
+    ),
+    createResult(
+      'retries above the bound',
+      listIds(
+        ({retries, requestClass}) => retries > (limits.get(requestClass) ?? 0),
+      ),
+    ),
+  ];
+}
+
+function findCriticalIds(
+  {records}: DemoEvidence,
+  classes: readonly DemoClass[],
+): Set<string> {
+  const critical = new Set(
+    classes.filter(({isCritical}) => isCritical).map(({name}) => name),
+  );
+  return new Set(
+    records
+      .filter(({requestClass}) => critical.has(requestClass))
+      .map(({requestId}) => requestId),
+  );
+}
+
+/** The request at the entry that an event belongs to. */
+function getRootId({requestId = ''}: TimelineEvent): string {
+  return requestId.slice(0, ROOT_ID_LENGTH);
+}
+
+function isShed({code, details}: TimelineEvent): boolean {
+  return (
+    code === EventCode.REQUEST_REFUSED &&
+    details['reason'] === RefusalReason.OVERLOADED
+  );
+}
+
+/** Refusals of critical requests, and of calls to serve them, for overload. */
+export function findCriticalSheds(
+  evidence: DemoEvidence,
+  classes: readonly DemoClass[],
+): TimelineEvent[] {
+  const critical = findCriticalIds(evidence, classes);
+  return evidence.events.filter(
+    (event) => isShed(event) && critical.has(getRootId(event)),
+  );
+}
+
+function findUnfairSheds(
+  evidence: DemoEvidence,
+  classes: readonly DemoClass[],
+): string[] {
+  const critical = findCriticalIds(evidence, classes);
+  const lesserStarts = evidence.events.filter(
+    (event) =>
+      event.code === EventCode.REQUEST_STARTED &&
+      !critical.has(getRootId(event)),
+  );
+  return findCriticalSheds(evidence, classes)
+    .filter((shed) =>
+      lesserStarts.some((start) => {
+        const laterMs = start.time.wallMs - shed.time.wallMs;
+        const isNext = laterMs >= 0 && laterMs <= GATE_TICK_MS;
+        return isNext && start.process === shed.process;
+      }),
+    )
+    .map(({requestId = ''}) => requestId);
+}
--- a/packages/bench/src/fleet/launcher.ts
+++ b/packages/bench/src/fleet/launcher.ts
@@ -11,6 +11,9 @@
 const COMMAND = fileURLToPath(
   new URL('../../../cli/bin/sycamoreyoke.js', import.meta.url),
 );
+const BARE_PROXY = fileURLToPath(
+  new URL('../cost/bareProxy.js', import.meta.url),
+);
 const READY_TIMEOUT_MS = 30_000;
 const STOP_TIMEOUT_MS = 20_000;
 
@@ -44,61 +47,101 @@
 
 /** Owns the processes of a run and ends them all. */
 export class Launcher {
-  private readonly running = new Map<string, LaunchedProcess>();
+  private readonly running = new Map<string, ChildProcess>();
+  private isStopping = false;
 
-  constructor(private readonly logFolder: string) {}
+  constructor(
+    private readonly logFolder: string,
+    private readonly stopTimeoutMs = STOP_TIMEOUT_MS,
+  ) {}
 
   /** Starts a command and waits for its ready line. */
-  async start(
+  start(
     name: string,
     args: readonly string[],
     environment: Readonly<Record<string, string>> = {},
   ): Promise<LaunchedProcess> {
-    const child = spawn(process.execPath, [COMMAND, ...args], {
+    return this.open(name, [COMMAND, ...args], environment);
+  }
+
+  /** Starts a bare proxy and waits for its ready line. */
+  startProxy(
+    name: string,
+    port: number,
+    target: string,
+  ): Promise<LaunchedProcess> {
+    return this.open(name, [BARE_PROXY, String(port), target], {});
+  }
+
+  private async open(
+    name: string,
+    args: readonly string[],
+    environment: Readonly<Record<string, string>>,
+  ): Promise<LaunchedProcess> {
+    if (this.isStopping) throw new SycamoreyokeError(`${name}: run is ending`);
+    const child = spawn(process.execPath, args, {
       env: {...process.env, ...environment},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     child.stderr.pipe(
       createWriteStream(`${this.logFolder}/${name}.log`, {flags: 'a'}),
     );
-    const ready = await waitForReady(name, child);
-    const launched: LaunchedProcess = {name, child, ready};
-    this.running.set(name, launched);
+    // Known before it is ready, so that a failed start leaves no process.
+    this.running.set(name, child);
     child.once('exit', () => {
-      if (this.running.get(name) === launched) this.running.delete(name);
+      if (this.running.get(name) === child) this.running.delete(name);
     });
-    return launched;
+    return {name, child, ready: await waitForReady(name, child)};
+  }
+
+  /** Runs a command to its end, hands on its output and gives its exit code. */
+  async run(
+    name: string,
+    args: readonly string[],
+    observe: (line: string) => void,
+  ): Promise<number | null> {
+    if (this.isStopping) throw new SycamoreyokeError(`${name}: run is ending`);
+    const child = spawn(process.execPath, [COMMAND, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    this.running.set(name, child);
+    child.once('exit', () => this.running.delete(name));
+    for (const stream of [child.stdout, child.stderr]) {
+      createInterface(stream).on('line', observe);
+    }
+    return waitForClose(child);
   }
 
   /** Ends a process gracefully and returns its exit code. */
   async stop(name: string): Promise<number | null> {
-    const launched = this.running.get(name);
-    if (!launched) return null;
-    launched.child.kill('SIGTERM');
-    return waitForExit(launched.child);
+    const child = this.running.get(name);
+    if (!child) return null;
+    child.kill('SIGTERM');
+    return waitForExit(child, this.stopTimeoutMs);
   }
 
   /** Ends a process at once. */
   async kill(name: string): Promise<void> {
-    const launched = this.running.get(name);
-    if (!launched) return;
-    launched.child.kill('SIGKILL');
-    await waitForExit(launched.child);
+    const child = this.running.get(name);
+    if (!child) return;
+    child.kill('SIGKILL');
+    await waitForExit(child, this.stopTimeoutMs);
   }
 
   /** Sends a signal such as SIGSTOP. */
   send(name: string, signal: NodeJS.Signals): void {
-    this.running.get(name)?.child.kill(signal);
+    this.running.get(name)?.kill(signal);
   }
 
   /** Resolves with the exit code when the process ends by itself. */
   async wait(name: string): Promise<number | null> {
-    const launched = this.running.get(name);
-    return launched ? waitForExit(launched.child) : null;
+    const child = this.running.get(name);
+    return child ? waitForExit(child, this.stopTimeoutMs) : null;
   }
 
-  /** Ends all processes that are still running. */
+  /** Ends all processes that are still running; no other can be started. */
   async stopAll(): Promise<void> {
+    this.isStopping = true;
     await Promise.all([...this.running.keys()].map((name) => this.stop(name)));
   }
 }
@@ -126,13 +169,21 @@
   });
 }
 
+/** Waits for the end of the process and of its output. */
+function waitForClose(child: ChildProcess): Promise<number | null> {
+  return new Promise((resolve) => child.once('close', resolve));
+}
+
 /** Waits for the exit; kills the process when it takes too long. */
-function waitForExit(child: ChildProcess): Promise<number | null> {
+function waitForExit(
+  child: ChildProcess,
+  timeoutMs: number,
+): Promise<number | null> {
   if (child.exitCode !== null || child.signalCode !== null) {
     return Promise.resolve(child.exitCode);
   }
   return new Promise((resolve) => {
-    const timer = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS);
+    const timer = setTimeout(() => child.kill('SIGKILL'), timeoutMs);
     child.once('exit', (code) => {
       clearTimeout(timer);
       resolve(code);
