--- /dev/null
+++ b/packages/bench/src/cost/costFleet.ts
@@ -0,0 +1,142 @@
+/** Processes of the cost measurement and what they report of themselves. */
+import {createHash} from 'node:crypto';
+import type {Member} from 'sycamoreyoke/process/types';
+import {RepeatGuard} from 'sycamoreyoke/types';
+import type {ConfigurationObject} from 'sycamoreyoke/version/types';
+import {ImportanceName, Lean, ObjectKind} from 'sycamoreyoke/version/types';
+import {request} from 'undici';
+import type {Launcher} from '../fleet/launcher.js';
+import {findFreePorts} from '../fleet/launcher.js';
+import {publishObjects} from '../fleet/publish.js';
+
+const TOKEN = 'cost-token';
+const SERVICES = ['back', 'front'] as const;
+const SLOTS = 64;
+
+/** A node of the measurement. */
+export interface CostNode {
+  readonly self: Member;
+  readonly localPort: number;
+}
+
+/** Everything that runs for the measurement. */
+export interface CostFleet {
+  readonly upstreamUrl: string;
+  /** To the upstream, and to the first proxy. */
+  readonly proxyUrls: readonly [string, string];
+  /** Beside the upstream, and of another service. */
+  readonly nodes: readonly [CostNode, CostNode];
+}
+
+/** Headers of a call; all paths get the same ones. */
+export function buildCallHeaders(requestId: string): Record<string, string> {
+  return {
+    'sycamoreyoke-class': 'read',
+    'sycamoreyoke-request-id': requestId,
+    'sycamoreyoke-timeout-ms': '5000',
+    'sycamoreyoke-caller': 'bench',
+    authorization: `Bearer ${TOKEN}`,
+  };
+}
+
+function buildObjects(): ConfigurationObject[] {
+  return [
+    {
+      kind: ObjectKind.POLICY,
+      name: 'plain',
+      lean: Lean.RECOVERY,
+      queueLimit: 100,
+    },
+    ...SERVICES.map(
+      (name) => ({kind: ObjectKind.SERVICE, name, policy: 'plain'}) as const,
+    ),
+    {
+      kind: ObjectKind.RETRY_LIMIT,
+      name: 'one-retry',
+      perRequest: 1,
+      shareOfTraffic: 0.1,
+      backoffBaseMs: 20,
+      backoffMaxMs: 200,
+    },
+    {
+      kind: ObjectKind.REQUEST_CLASS,
+      name: 'read',
+      service: 'back',
+      importance: ImportanceName.NORMAL,
+      idempotent: true,
+      guard: RepeatGuard.NONE,
+      retryLimit: 'one-retry',
+      timeoutMs: 5_000,
+    },
+    {
+      kind: ObjectKind.CALLER,
+      name: 'bench',
+      tokenSha256: createHash('sha256').update(TOKEN).digest('hex'),
+      classes: ['read'],
+      trusted: false,
+    },
+  ];
+}
+
+/** Starts the platform, an upstream, two proxies and two nodes. */
+export async function startCostFleet(
+  launcher: Launcher,
+  folder: string,
+): Promise<CostFleet> {
+  const platform = await launcher.start('platform', ['stand-in', 'platform']);
+  const platformUrl = `http://127.0.0.1:${Number(platform.ready['port'])}`;
+  await publishObjects(launcher, platformUrl, buildObjects(), folder);
+  const upstream = await launcher.start('upstream', [
+    ...['stand-in', 'upstream', '--service-time-ms', '0', '--cold-ms', '0'],
+    ...['--slots', String(SLOTS)],
+  ]);
+  const upstreamUrl = `http://127.0.0.1:${Number(upstream.ready['port'])}`;
+  const [first = 0, second = 0] = await findFreePorts(2);
+  const proxyUrls = [
+    `http://127.0.0.1:${first}`,
+    `http://127.0.0.1:${second}`,
+  ] as const;
+  await launcher.startProxy('proxy-1', first, upstreamUrl);
+  await launcher.startProxy('proxy-2', second, proxyUrls[0]);
+  const startNode = async (service: string): Promise<CostNode> => {
+    const {ready} = await launcher.start(`node-${service}`, [
+      ...['node', '--service', service, '--data-centre', 'oviedo'],
+      ...['--upstream', upstreamUrl, '--slots', String(SLOTS)],
+      ...['--table-url', platformUrl, '--object-store-url', platformUrl],
+      ...['--log-level', 'warn'],
+    ]);
+    return {
+      self: ready['self'] as Member,
+      localPort: Number(ready['localPort']),
+    };
+  };
+  // One after the other: the second node finds the first one's seed row.
+  const nodes = [await startNode('back'), await startNode('front')] as const;
+  return {upstreamUrl, proxyUrls, nodes};
+}
+
+/** A figure of the metrics of a node; undefined when it is not given. */
+export function parseMetric(text: string, name: string): number | undefined {
+  const line = text.split('\n').find((each) => each.startsWith(`${name} `));
+  return line === undefined ? undefined : Number(line.split(' ')[1]);
+}
+
+/** Text of /metrics of a node. */
+export async function readMetrics({self}: CostNode): Promise<string> {
+  const url = `http://${self.address}:${self.adminPort}/metrics`;
+  return (await request(url)).body.text();
+}
+
+/** Processor time of a bare proxy in milliseconds. */
+export async function readProxyCpuMs(url: string): Promise<number> {
+  return Number(await (await request(`${url}/cpu`)).body.text()) / 1_000;
+}
+
+/** Processor time of a node in milliseconds. */
+export async function readNodeCpuMs(
+  node: CostNode,
+): Promise<number | undefined> {
+  const text = await readMetrics(node);
+  const seconds = parseMetric(text, 'sycamoreyoke_cpu_seconds_total');
+  return seconds === undefined ? undefined : seconds * 1_000;
+}
--- /dev/null
+++ b/packages/bench/src/cost/idle.ts
@@ -0,0 +1,70 @@
+/** What a pair of nodes uses while no call is made. */
+import {setTimeout as wait} from 'node:timers/promises';
+import type {CostNode} from './costFleet.js';
+import {parseMetric, readMetrics} from './costFleet.js';
+
+const IDLE_MS = 10_000;
+
+/** Use of one node while idle; undefined where the node gives no figure. */
+export interface IdleUse {
+  readonly node: string;
+  readonly receivedBytesPerSecond: number | undefined;
+  readonly sentBytesPerSecond: number | undefined;
+  readonly cpuShare: number | undefined;
+  readonly residentBytes: number | undefined;
+}
+
+/** Watches the nodes without a call. */
+export async function measureIdle(
+  nodes: readonly CostNode[],
+): Promise<IdleUse[]> {
+  const startMs = performance.now();
+  const before = await Promise.all(nodes.map(readMetrics));
+  await wait(IDLE_MS);
+  const after = await Promise.all(nodes.map(readMetrics));
+  const seconds = (performance.now() - startMs) / 1_000;
+  return nodes.map(({self}, index) => {
+    const first = before[index] ?? '';
+    const last = after[index] ?? '';
+    const computeRate = (name: string) => {
+      const from = parseMetric(first, name);
+      const to = parseMetric(last, name);
+      if (from === undefined || to === undefined) return undefined;
+      return (to - from) / seconds;
+    };
+    return {
+      node: self.service,
+      receivedBytesPerSecond: computeRate(
+        'sycamoreyoke_control_received_bytes_total',
+      ),
+      sentBytesPerSecond: computeRate('sycamoreyoke_control_sent_bytes_total'),
+      cpuShare: computeRate('sycamoreyoke_cpu_seconds_total'),
+      residentBytes: parseMetric(last, 'sycamoreyoke_resident_bytes'),
+    };
+  });
+}
+
+function formatNumber(value: number | undefined, digits: number): string {
+  return value === undefined ? 'not known' : value.toFixed(digits);
+}
+
+/** Renders the idle use as a table. */
+export function renderIdle(uses: readonly IdleUse[]): string {
+  return [
+    '| node | control bytes/s received | control bytes/s sent | CPU, % of a core | memory MB |',
+    '|---|---|---|---|---|',
+    ...uses.map((use) => {
+      const cpu = use.cpuShare === undefined ? undefined : use.cpuShare * 100;
+      const mb =
+        use.residentBytes === undefined ? undefined : use.residentBytes / 1e6;
+      const cells = [
+        use.node,
+        formatNumber(use.receivedBytesPerSecond, 0),
+        formatNumber(use.sentBytesPerSecond, 0),
+        formatNumber(cpu, 2),
+        formatNumber(mb, 0),
+      ];
+      return `| ${cells.join(' | ')} |`;
+    }),
+  ].join('\n');
+}
--- /dev/null
+++ b/packages/bench/src/cost/summary.ts
@@ -0,0 +1,102 @@
+/** Medians and the table of the cost measurement. */
+
+/** One round of one path. */
+export interface CostRound {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  /** Processor time of all hops for a call; undefined without a hop. */
+  readonly cpuMsPerCall?: number;
+}
+
+/** A path with its rounds, in the order in which they ran. */
+export interface CostPath {
+  readonly name: string;
+  readonly rounds: readonly CostRound[];
+  /** Resident memory of all hops after the rounds. */
+  readonly residentBytes?: number;
+}
+
+/** Median with the range over the rounds. */
+export interface Spread {
+  readonly median: number;
+  readonly least: number;
+  readonly most: number;
+}
+
+const NOT_KNOWN = 'not known';
+const BYTES_PER_MB = 1_000_000;
+
+/** Median and range; undefined when a value is missing. */
+export function computeSpread(
+  values: ReadonlyArray<number | undefined>,
+): Spread | undefined {
+  const known = values.filter((value) => value !== undefined);
+  if (known.length === 0 || known.length < values.length) return undefined;
+  const sorted = [...known].sort((a, b) => a - b);
+  const upper = sorted[Math.floor(sorted.length / 2)] ?? NaN;
+  const lower = sorted[Math.floor((sorted.length - 1) / 2)] ?? NaN;
+  return {
+    median: (lower + upper) / 2,
+    least: sorted[0] ?? NaN,
+    most: sorted.at(-1) ?? NaN,
+  };
+}
+
+/** Spread over rounds of what the first path has beyond the second. */
+export function computeAdded(
+  path: CostPath,
+  base: CostPath,
+  read: (round: CostRound) => number | undefined,
+): Spread | undefined {
+  return computeSpread(
+    path.rounds.map((round, index) => {
+      const other = base.rounds[index];
+      const own = read(round);
+      const before = other && read(other);
+      if (own === undefined || before === undefined) return undefined;
+      return own - before;
+    }),
+  );
+}
+
+/** Renders a median and its range. */
+export function formatSpread(spread: Spread | undefined): string {
+  if (!spread) return NOT_KNOWN;
+  const {median, least, most} = spread;
+  return `${median.toFixed(2)} (${least.toFixed(2)} to ${most.toFixed(2)})`;
+}
+
+function renderRow(path: CostPath, direct: CostPath): string {
+  const {rounds, residentBytes} = path;
+  const cells = [
+    path.name,
+    formatSpread(computeSpread(rounds.map(({p50Ms}) => p50Ms))),
+    formatSpread(computeSpread(rounds.map(({p99Ms}) => p99Ms))),
+    path === direct
+      ? '–'
+      : formatSpread(computeAdded(path, direct, ({p50Ms}) => p50Ms)),
+    path === direct
+      ? '–'
+      : formatSpread(computeAdded(path, direct, ({p99Ms}) => p99Ms)),
+    path === direct
+      ? '–'
+      : formatSpread(
+          computeSpread(rounds.map(({cpuMsPerCall}) => cpuMsPerCall)),
+        ),
+    residentBytes === undefined
+      ? '–'
+      : (residentBytes / BYTES_PER_MB).toFixed(0),
+  ];
+  return `| ${cells.join(' | ')} |`;
+}
+
+/** Renders the paths as a table; the first one is the direct call. */
+export function renderPaths(paths: readonly CostPath[]): string {
+  const [direct] = paths;
+  if (!direct) return '';
+  return [
+    '| path | p50 ms | p99 ms | added p50 ms | added p99 ms | CPU ms a call | memory MB |',
+    '|---|---|---|---|---|---|---|',
+    ...paths.map((path) => renderRow(path, direct)),
+  ].join('\n');
+}
