--- /dev/null
+++ b/packages/bench/src/fleet/serviceFleet.ts
@@ -0,0 +1,194 @@
+/** Platform, upstreams and nodes of the Suelas example as real processes. */
+import {execFile} from 'node:child_process';
+import {fileURLToPath} from 'node:url';
+import type {NodeStatus} from '@sycamoreyoke/cli/fleet';
+import type {Execution} from '@sycamoreyoke/standins/upstream/executions';
+import type {Switches} from '@sycamoreyoke/standins/platform/switches';
+import {SycamoreyokeError} from 'sycamoreyoke/errors';
+import {findFreePorts, Launcher} from './launcher.js';
+
+const COMMAND = fileURLToPath(
+  new URL('../../../cli/bin/sycamoreyoke.js', import.meta.url),
+);
+const EXAMPLES = fileURLToPath(
+  new URL('../../../../examples/suelas', import.meta.url),
+);
+/** The set that every run publishes first. */
+export const SUELAS_FILES = ['services', 'classes', 'callers'].map(
+  (name) => `${EXAMPLES}/${name}.yaml`,
+);
+const COMMAND_TIMEOUT_MS = 30_000;
+const READ_TIMEOUT_MS = 1_000;
+
+/** A node, its upstream and their ports, which stay over restarts. */
+export interface Seat {
+  readonly service: string;
+  readonly node: string;
+  readonly upstream: string;
+  readonly upstreamPort: number;
+  readonly publicPort: number;
+  readonly controlPort: number;
+  readonly adminPort: number;
+}
+
+/** How a command ended. */
+export interface CommandEnd {
+  readonly code: number;
+  readonly output: string;
+}
+
+/** Runs a command to its end. */
+function runCommand(args: readonly string[]): Promise<CommandEnd> {
+  return new Promise((resolve) => {
+    execFile(
+      process.execPath,
+      [COMMAND, ...args],
+      {timeout: COMMAND_TIMEOUT_MS},
+      (error, stdout, stderr) => {
+        const code = typeof error?.code === 'number' ? error.code : -1;
+        resolve({code: error ? code : 0, output: stdout + stderr});
+      },
+    );
+  });
+}
+
+async function readJson<T>(url: string): Promise<T> {
+  const response = await fetch(url, {
+    signal: AbortSignal.timeout(READ_TIMEOUT_MS),
+  });
+  return (await response.json()) as T;
+}
+
+/** Starts and restarts the processes of a few services. */
+export class ServiceFleet {
+  readonly launcher: Launcher;
+  seats: readonly Seat[] = [];
+  private platformUrl = '';
+
+  constructor(
+    logFolder: string,
+    private readonly upstreamFlags: readonly string[],
+  ) {
+    this.launcher = new Launcher(logFolder);
+  }
+
+  /** Starts everything: two upstreams with their nodes for each service. */
+  async start(services: readonly string[]): Promise<void> {
+    const platform = await this.launcher.start('platform', [
+      'stand-in',
+      'platform',
+    ]);
+    this.platformUrl = `http://127.0.0.1:${String(platform.ready['port'])}`;
+    const published = await this.publish(0, SUELAS_FILES);
+    if (published.code !== 0) throw new SycamoreyokeError(published.output);
+    const names = services.flatMap((service) => [
+      [service, 'a'] as const,
+      [service, 'b'] as const,
+    ]);
+    const ports = await findFreePorts(names.length * 4);
+    this.seats = names.map(([service, letter], index) => ({
+      service,
+      node: `node-${service}-${letter}`,
+      upstream: `upstream-${service}-${letter}`,
+      upstreamPort: ports[index * 4] ?? 0,
+      publicPort: ports[index * 4 + 1] ?? 0,
+      controlPort: ports[index * 4 + 2] ?? 0,
+      adminPort: ports[index * 4 + 3] ?? 0,
+    }));
+    await Promise.all(this.seats.map((seat) => this.startUpstream(seat)));
+    await Promise.all(this.seats.map((seat) => this.startNode(seat)));
+  }
+
+  async startUpstream(seat: Seat): Promise<void> {
+    await this.launcher.start(seat.upstream, [
+      ...['stand-in', 'upstream', '--name', seat.upstream],
+      ...['--port', String(seat.upstreamPort)],
+      ...this.upstreamFlags,
+    ]);
+  }
+
+  async startNode(seat: Seat): Promise<void> {
+    const peers = this.seats
+      .filter((other) => other.service === seat.service && other !== seat)
+      .map(({controlPort}) => `http://127.0.0.1:${controlPort}`);
+    await this.launcher.start(seat.node, [
+      ...['node', '--service', seat.service, '--data-centre', 'oviedo'],
+      ...['--upstream', `http://127.0.0.1:${seat.upstreamPort}`],
+      ...['--table-url', this.platformUrl],
+      ...['--object-store-url', this.platformUrl],
+      ...['--public-port', String(seat.publicPort)],
+      ...['--control-port', String(seat.controlPort)],
+      ...['--admin-port', String(seat.adminPort)],
+      ...['--peers', peers.join(','), '--warm-up-calls', '200'],
+    ]);
+  }
+
+  /** Publishes files as the whole set. */
+  publish(base: number, files: readonly string[]): Promise<CommandEnd> {
+    return runCommand([
+      ...['config', 'publish', '--table-url', this.platformUrl],
+      ...['--object-store-url', this.platformUrl],
+      ...['--base', String(base), ...files],
+    ]);
+  }
+
+  /** Switches faults of the platform on or off. */
+  async applySwitches(switches: Partial<Switches>): Promise<void> {
+    const response = await fetch(`${this.platformUrl}/v1/switches`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(switches),
+    });
+    if (!response.ok) throw new SycamoreyokeError(await response.text());
+  }
+
+  /** URLs of the public ports of a service. */
+  listEntries(service: string): string[] {
+    return this.seats
+      .filter((seat) => seat.service === service)
+      .map(({publicPort}) => `http://127.0.0.1:${publicPort}`);
+  }
+
+  readStatus(seat: Seat): Promise<NodeStatus> {
+    return readJson<NodeStatus>(`http://127.0.0.1:${seat.adminPort}/status`);
+  }
+
+  async readExecutions(seat: Seat): Promise<readonly Execution[]> {
+    const url = `http://127.0.0.1:${seat.upstreamPort}/stand-in/executions`;
+    return (await readJson<{executions: Execution[]}>(url)).executions;
+  }
+
+  /** Waits until every node is ready and knows the members of its service. */
+  async waitForReady(timeoutMs: number): Promise<void> {
+    const deadline = performance.now() + timeoutMs;
+    for (;;) {
+      const isReady = await Promise.all(
+        this.seats.map(async (seat) => {
+          const status = await this.readStatus(seat).catch(() => undefined);
+          const active = status?.members.filter(
+            ({service, state}) =>
+              service === seat.service && String(state) === 'active',
+          );
+          return status?.isReady === true && (active?.length ?? 0) >= 2;
+        }),
+      );
+      if (isReady.every(Boolean)) return;
+      if (performance.now() > deadline) {
+        throw new SycamoreyokeError(`nodes not ready in ${timeoutMs} ms`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+  }
+
+  /** Ends all processes; a stopped one is continued so that it can end. */
+  async stop(): Promise<void> {
+    for (const seat of this.seats) {
+      this.launcher.send(seat.node, 'SIGCONT');
+      this.launcher.send(seat.upstream, 'SIGCONT');
+    }
+    // The platform goes last, so that the nodes need not wait for it.
+    const names = this.seats.map(({node}) => node);
+    await Promise.all(names.map((name) => this.launcher.stop(name)));
+    await this.launcher.stopAll();
+  }
+}
