--- a/packages/bench/src/fleet/serviceFleet.ts
+++ b/packages/bench/src/fleet/serviceFleet.ts
@@ -62,6 +62,8 @@
 /** Starts and restarts the processes of a few services. */
 export class ServiceFleet {
   readonly launcher: Launcher;
+  /** Ends of nodes by themselves or by a signal, in their order. */
+  readonly nodeEnds: string[] = [];
   seats: readonly Seat[] = [];
   private platformUrl = '';
 
@@ -111,7 +113,7 @@
     const peers = this.seats
       .filter((other) => other.service === seat.service && other !== seat)
       .map(({controlPort}) => `http://127.0.0.1:${controlPort}`);
-    await this.launcher.start(seat.node, [
+    const {child} = await this.launcher.start(seat.node, [
       ...['node', '--service', seat.service, '--data-centre', 'oviedo'],
       ...['--upstream', `http://127.0.0.1:${seat.upstreamPort}`],
       ...['--table-url', this.platformUrl],
@@ -121,6 +123,11 @@
       ...['--admin-port', String(seat.adminPort)],
       ...['--peers', peers.join(','), '--warm-up-calls', '200'],
     ]);
+    child.once('exit', (code, signal) => {
+      this.nodeEnds.push(
+        `${seat.node} code=${String(code)} signal=${String(signal)}`,
+      );
+    });
   }
 
   /** Publishes files as the whole set. */
--- a/packages/bench/src/soak.ts
+++ b/packages/bench/src/soak.ts
@@ -60,6 +60,7 @@
   );
   const versions = statuses.map((status) => status?.configurationVersion ?? -1);
   const violations: Violation[] = [];
+  console.log(`node ends: ${fleet.nodeEnds.join(', ')}`);
   console.log(`configuration versions: ${versions.join(' ')}`);
   if (new Set(versions).size > 1 || versions.includes(-1)) {
     violations.push({rule: `versions differ: ${versions.join(' ')}`});
