--- a/packages/node/src/process/executorTask.ts
+++ b/packages/node/src/process/executorTask.ts
@@ -16,8 +16,11 @@
 /** How an execution on the upstream ended. */
 export interface ExecutionEnd {
   readonly answer: SendAnswer;
-  /** NOT_RUN is the word of the upstream, after the dispatch. */
-  readonly isRefusedByUpstream: boolean;
+  /**
+   * NOT_RUN is certain although the dispatch was allowed: the upstream said
+   * so, or no byte was written.
+   */
+  readonly isProvenNotRun: boolean;
 }
 
 /**
@@ -140,24 +143,24 @@
         RefusalReason.CONNECTION_LOST,
         SendPhase.AFTER_DISPATCH,
       );
-      return {answer, isRefusedByUpstream: false};
+      return {answer, isProvenNotRun: false};
     }
   }
 
   private finish(key: string, end: ExecutionEnd): Settlement {
-    const {answer, isRefusedByUpstream} = end;
+    const {answer, isProvenNotRun} = end;
     if (answer.response) return this.records.finish(key, answer.response);
     const reason = answer.reason ?? RefusalReason.CONNECTION_LOST;
     return answer.outcome === Outcome.NOT_RUN
-      ? this.records.refuse(key, reason, isRefusedByUpstream)
+      ? this.records.refuse(key, reason, isProvenNotRun)
       : this.records.markUnknown(key, reason);
   }
 
   private finishClaim(claim: HeldClaim, end: ExecutionEnd): Settlement {
-    const {answer, isRefusedByUpstream} = end;
+    const {answer, isProvenNotRun} = end;
     if (answer.outcome !== Outcome.NOT_RUN) return this.finish(claim.key, end);
     const reason = answer.reason ?? RefusalReason.OVERLOADED;
-    const refused = this.claims.refuse(claim, reason, isRefusedByUpstream);
+    const refused = this.claims.refuse(claim, reason, isProvenNotRun);
     void refused.released.then((isReleased) => {
       if (!isReleased) return;
       const {requestId} = claim.identity;
--- a/packages/node/src/process/gateTask.ts
+++ b/packages/node/src/process/gateTask.ts
@@ -21,19 +21,16 @@
 /** Owns the gate and hands each waiting call its verdict. */
 export class GateTask {
   private readonly waiting = new Map<string, (verdict: Verdict) => void>();
-  private timer?: NodeJS.Timeout;
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly gate: AdaptiveGate,
     readonly clock: Clock,
   ) {}
 
-  start(): void {
-    this.timer = setInterval(() => this.apply(this.gate.tick()), TICK_MS);
-  }
-
   stop(): void {
     clearInterval(this.timer);
+    this.timer = undefined;
   }
 
   /** Resolves once the gate has started or refused the ticket. */
@@ -41,6 +38,7 @@
     return new Promise((resolve) => {
       this.waiting.set(arrival.ticket, resolve);
       this.apply(this.gate.offer(arrival));
+      this.watchWaiting();
     });
   }
 
@@ -80,6 +78,15 @@
     };
   }
 
+  /** Expiry is checked only while calls wait: an idle node spends nothing. */
+  private watchWaiting(): void {
+    if (this.waiting.size === 0 || this.timer) return;
+    this.timer = setInterval(() => {
+      this.apply(this.gate.tick());
+      if (this.waiting.size === 0) this.stop();
+    }, TICK_MS);
+  }
+
   private apply(actions: readonly GateAction[]): void {
     for (const action of actions) {
       const resolve = this.waiting.get(action.ticket);
--- a/packages/node/src/process/membershipTask.ts
+++ b/packages/node/src/process/membershipTask.ts
@@ -37,6 +37,8 @@
 import type {Random} from 'sycamoreyoke/random';
 
 const TICK_MS = 100;
+/** The router learns of members of called services this often. */
+const VIEW_UPDATE_MS = 500;
 const SEED_ROWS = 100;
 /** Second look-up of contacts after a first one without any. */
 const FIRST_RETRY_MS = 500;
@@ -91,6 +93,8 @@
   >();
   private seeds: SeedState = EMPTY_SEED_STATE;
   private nextSeedMs = 0;
+  private nextViewMs = 0;
+  private routedSequence = -1;
   private readonly pendingLookUps = new Map<string, Promise<void>>();
   private readonly lookUps = new Map<string, ContactLookUp>();
   private nextReply = 0;
@@ -223,13 +227,16 @@
 
   private tick(): void {
     this.apply(this.membership, this.membership.tick());
+    const nowMs = this.parts.clock.readMs();
+    const isViewDue = nowMs >= this.nextViewMs;
+    if (isViewDue) this.nextViewMs = nowMs + VIEW_UPDATE_MS;
     for (const [service, view] of this.views) {
       this.apply(view, view.tick());
-      this.updateRouter(service, view);
+      if (isViewDue) this.updateRouter(service, view);
       if (view.needsContacts()) void this.findContacts(service, view);
     }
     if (this.membership.needsContacts()) void this.findPeers();
-    if (this.parts.clock.readMs() >= this.nextSeedMs) void this.writeSeeds();
+    if (nowMs >= this.nextSeedMs) void this.writeSeeds();
     this.updateOwnService();
   }
 
@@ -273,6 +280,10 @@
 
   /** The router calls members of the own service as of any other. */
   private updateOwnService(): void {
+    // The router copies the members; most ticks change none.
+    const {sequence} = this.membership.table;
+    if (sequence === this.routedSequence) return;
+    this.routedSequence = sequence;
     const members = this.membership.list();
     this.parts.router.update(this.parts.self.service, members);
     this.parts.updateMembers(members);
--- a/packages/node/src/request/httpExchange.ts
+++ b/packages/node/src/request/httpExchange.ts
@@ -98,10 +98,7 @@
 ): Record<string, string> {
   return collectHeaders(
     headers,
-    (name) =>
-      name.startsWith(HEADER_PREFIX) ||
-      name === 'content-digest' ||
-      name === 'date',
+    (name) => name.startsWith(HEADER_PREFIX) || name === 'date',
   );
 }
 
@@ -139,7 +136,10 @@
   const headers = formatResponseHeaders({
     ...added,
     outcome: answer.outcome,
-    contentDigest: formatContentDigest(body, hashBody),
+    // A digest that came with the response was checked when it arrived.
+    contentDigest:
+      response?.headers['content-digest'] ??
+      formatContentDigest(body, hashBody),
     ...(answer.reason === undefined ? {} : {reason: answer.reason}),
     ...(answer.nextAttempt === undefined
       ? {}
--- a/packages/node/src/request/upstreamRun.ts
+++ b/packages/node/src/request/upstreamRun.ts
@@ -1,6 +1,7 @@
 /** Runs an admitted call on the upstream beside the node. */
 import {randomUUID} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
+import {setTimeout as wait} from 'node:timers/promises';
 import {formatFinding} from 'sycamoreyoke/findings';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {Completion} from 'sycamoreyoke/process/types';
@@ -22,9 +23,16 @@
  */
 const GUARDED_GRACE_MS = 10_000;
 
+/** Times that a call goes back to the queue after the upstream shed it. */
+const MAX_SHEDS = 5;
+/** Wait before that, longer each time, for the gate to lower its limit. */
+const SHED_WAIT_MS = 5;
+
 /** The end of an execution, with the retries of the calls that it made. */
 export interface UpstreamRun extends ExecutionEnd {
   readonly retries: number;
+  /** The upstream refused it for load. */
+  readonly isShed?: boolean;
   /** When a refused request may be sent again. */
   readonly retryAfterMs?: number;
 }
@@ -54,7 +62,11 @@
   }
 }
 
-/** Waits for a slot, runs the call and checks its response. */
+/**
+ * Waits for a slot, runs the call and checks its response. A call that the
+ * upstream sheds was not run, so it waits for a slot again: refusing it would
+ * let lesser calls that wait go first.
+ */
 async function runAdmitted(
   parts: NodeParts,
   call: IncomingCall,
@@ -62,6 +74,31 @@
   executionId: string,
   mayDispatch: () => boolean,
 ): Promise<UpstreamRun> {
+  let sheds = 0;
+  for (;;) {
+    const refusal = await waitForSlot(parts, call, client, executionId);
+    if (refusal) return {...refusal, isProvenNotRun: sheds > 0};
+    // A dispatch that the upstream shed counts as the first one.
+    if (sheds === 0 && !mayDispatch()) {
+      parts.gate.finish(executionId, Completion.CANCELLED);
+      return createNotRun(RefusalReason.SUPERSEDED);
+    }
+    const run = await runInSlot(parts, call, client, executionId);
+    sheds += 1;
+    const waitMs = sheds * SHED_WAIT_MS;
+    const isInTime = parts.clock.readMs() + waitMs < call.deadline;
+    if (!run.isShed || sheds >= MAX_SHEDS || !isInTime) return run;
+    await wait(waitMs);
+  }
+}
+
+/** The refusal when the call gets no slot. */
+async function waitForSlot(
+  parts: NodeParts,
+  call: IncomingCall,
+  client: ServerResponse,
+  executionId: string,
+): Promise<UpstreamRun | undefined> {
   const offeredMs = parts.clock.readMs();
   const isRepeatable = call.compiledClass.definition.guard === RepeatGuard.NONE;
   const stopWatching = watchClient(client, isRepeatable, () =>
@@ -82,11 +119,18 @@
     parts.gate.finish(executionId, Completion.CANCELLED);
     return createNotRun(RefusalReason.LEAVING);
   }
-  if (!mayDispatch()) {
-    parts.gate.finish(executionId, Completion.CANCELLED);
-    return createNotRun(RefusalReason.SUPERSEDED);
-  }
   recordStart(parts, call, parts.clock.readMs() - offeredMs);
+  return undefined;
+}
+
+/** Sends the call to the upstream and tells the gate how it ended. */
+async function runInSlot(
+  parts: NodeParts,
+  call: IncomingCall,
+  client: ServerResponse,
+  executionId: string,
+): Promise<UpstreamRun> {
+  const isRepeatable = call.compiledClass.definition.guard === RepeatGuard.NONE;
   const ledger = new RetryLedger(call.grant.allowance, parts.report);
   const calls = new ChildCalls(parts.clock);
   parts.running.add({...call, executionId, ledger, calls});
@@ -100,7 +144,8 @@
     isInVain ? Completion.SHED_DOWNSTREAM : completion,
     calls.readMs(),
   );
-  return {...end, retries: ledger.close()};
+  const isShed = completion === Completion.SHED_BY_UPSTREAM;
+  return {...end, isShed, retries: ledger.close()};
 }
 
 function startUpstreamExchange(
@@ -180,9 +225,13 @@
     case ExchangeEnd.NOT_SENT:
       void parts.monitor.check();
       return {
-        end: createNotRun(
-          isLate ? RefusalReason.DEADLINE : RefusalReason.CONNECTION_LOST,
-        ),
+        // No byte was written, so the upstream cannot have run it.
+        end: {
+          ...createNotRun(
+            isLate ? RefusalReason.DEADLINE : RefusalReason.CONNECTION_LOST,
+          ),
+          isProvenNotRun: true,
+        },
         completion: isLate ? Completion.CANCELLED : Completion.FAILED,
       };
     case ExchangeEnd.LOST:
@@ -206,7 +255,7 @@
   if (headers['sycamoreyoke-outcome'] === Outcome.NOT_RUN) {
     const answer = createRefusalAnswer(RefusalReason.OVERLOADED);
     return {
-      end: {answer, isRefusedByUpstream: true},
+      end: {answer, isProvenNotRun: true},
       completion: Completion.SHED_BY_UPSTREAM,
     };
   }
@@ -229,7 +278,7 @@
   return {
     end: {
       answer: {outcome: Outcome.DONE, response},
-      isRefusedByUpstream: false,
+      isProvenNotRun: false,
     },
     completion: getCompletion(status),
   };
@@ -257,12 +306,12 @@
 /** The end of an execution before its dispatch. */
 export function createNotRun(reason: RefusalReason): UpstreamRun {
   const answer = createRefusalAnswer(reason);
-  return {answer, isRefusedByUpstream: false, retries: 0};
+  return {answer, isProvenNotRun: false, retries: 0};
 }
 
 function createUnknown(reason: RefusalReason): ExecutionEnd {
   const answer = createRefusalAnswer(reason, SendPhase.AFTER_DISPATCH);
-  return {answer, isRefusedByUpstream: false};
+  return {answer, isProvenNotRun: false};
 }
 
 function recordStart(
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -62,7 +62,6 @@
   const {service, incarnation} = self;
   record(EventCode.NODE_STARTED, {service, incarnation});
   watchProcess(container, node);
-  container.get(PARTS.gate).start();
   await node.membership.start();
   await node.configuration.start();
   await runWarmUp(node, settings.warmUpCalls);
--- a/packages/sycamoreyoke/src/process/metrics.ts
+++ b/packages/sycamoreyoke/src/process/metrics.ts
@@ -42,6 +42,13 @@
   );
 }
 
+/** Key of a series; cheaper than its rendered labels. */
+function buildKey(name: string, labels: Labels): string {
+  let key = name;
+  for (const label in labels) key += `\u0000${labels[label]}`;
+  return key;
+}
+
 /** Owns all series of a process and renders them. */
 export class Metrics {
   private readonly counters = new Map<string, Counter>();
@@ -50,7 +57,7 @@
 
   /** Adds to a counter. */
   count(name: string, labels: Labels = {}, amount = 1): void {
-    const key = name + formatLabels(labels);
+    const key = buildKey(name, labels);
     const counter = this.counters.get(key);
     if (counter) counter.value += amount;
     else this.counters.set(key, {name, labels, value: amount});
@@ -58,17 +65,17 @@
 
   /** Value of a counter, 0 when it was never counted. */
   readCount(name: string, labels: Labels = {}): number {
-    return this.counters.get(name + formatLabels(labels))?.value ?? 0;
+    return this.counters.get(buildKey(name, labels))?.value ?? 0;
   }
 
   /** Registers a gauge that is read when the metrics are rendered. */
   watch(name: string, read: () => number, labels: Labels = {}): void {
-    this.gauges.set(name + formatLabels(labels), {name, labels, read});
+    this.gauges.set(buildKey(name, labels), {name, labels, read});
   }
 
   /** Records a duration in milliseconds. */
   observe(name: string, milliseconds: number, labels: Labels = {}): void {
-    const key = name + formatLabels(labels);
+    const key = buildKey(name, labels);
     const timer = this.timers.get(key) ?? this.createTimer(key, name, labels);
     const us = Math.min(
       HIGHEST_VALUE_US,
