--- a/packages/bench/src/cost/runCost.ts
+++ b/packages/bench/src/cost/runCost.ts
@@ -203,7 +203,7 @@
 }
 
 /** Runs the measurement and writes its page. */
-export async function runCost(): Promise<void> {
+export async function runMeasurement(): Promise<void> {
   await mkdir(FOLDER, {recursive: true});
   const launcher = new Launcher(FOLDER);
   try {
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,46 +1,28 @@
 /** Runs one of the measurements: `npm run measure -- NAME [FLAGS]`. */
+import {SycamoreyokeError} from 'sycamoreyoke/errors';
 
 /** A measurement reads its own flags and writes below `results/`. */
 type Measurement = (flags: readonly string[]) => Promise<void>;
 
-interface MeasurementModule {
-  readonly runMeasurement: Measurement;
-}
-
-/** Module of each measurement, relative to this one. */
-const MODULES: ReadonlyMap<string, string> = new Map([
-  ['cost', './cost/runCost.js'],
-  ['policy', './policy/runPolicy.js'],
-  ['scale', './scale/runScale.js'],
+/** Loaded by name, since each brings modules that the others do not need. */
+const LOADERS: ReadonlyMap<string, () => Promise<Measurement>> = new Map([
+  ['cost', async () => (await import('./cost/runCost.js')).runMeasurement],
+  [
+    'policy',
+    async () => (await import('./policy/runPolicy.js')).runMeasurement,
+  ],
+  ['scale', async () => (await import('./scale/runScale.js')).runMeasurement],
 ]);
 
-async function loadMeasurement(name: string): Promise<Measurement> {
-  const path = MODULES.get(name);
-  if (path === undefined) {
-    const known = [...MODULES.keys()].join(', ');
-    throw new Error(`unknown measurement "${name}"; known are: ${known}`);
+async function runNamed([name = '', ...flags]: readonly string[]) {
+  const load = LOADERS.get(name);
+  if (!load) {
+    const known = [...LOADERS.keys()].join(', ');
+    throw new SycamoreyokeError(
+      `unknown measurement "${name}"; known are: ${known}`,
+    );
   }
-  try {
-    const module = (await import(path)) as MeasurementModule;
-    return module.runMeasurement;
-  } catch (error) {
-    if (!isMissing(error, path)) throw error;
-    throw new Error(`measurement "${name}" does not exist yet (${path})`);
-  }
-}
-
-/** Tells a missing measurement from a missing dependency of one. */
-function isMissing(error: unknown, path: string): boolean {
-  return (
-    error instanceof Error &&
-    'code' in error &&
-    error.code === 'ERR_MODULE_NOT_FOUND' &&
-    error.message.includes(`${path.slice(1)}' imported from`)
-  );
-}
-
-async function runNamed([name, ...flags]: readonly string[]): Promise<void> {
-  const run = await loadMeasurement(name ?? '');
+  const run = await load();
   await run(flags);
 }
 
--- a/packages/bench/src/scale/runScale.ts
+++ b/packages/bench/src/scale/runScale.ts
@@ -340,7 +340,8 @@
   }
 }
 
-if (process.argv[1]?.endsWith('runScale.js')) {
-  const asked = process.argv.slice(2) as ScalePart[];
-  await runScale(asked.length > 0 ? asked : undefined);
+/** Measures the parts that the flags name, or the usual ones. */
+export async function runMeasurement(flags: readonly string[]): Promise<void> {
+  const parts = flags as readonly ScalePart[];
+  await runScale(parts.length > 0 ? parts : undefined);
 }
