Split the events of the egress from its decisions, share the test fleet

Change: events and types of the egress are modules of their own; both test files start their processes through the same fleet.

--- a/packages/bench/src/badInput.test.ts
+++ b/packages/bench/src/badInput.test.ts
@@ -1,25 +1,16 @@
 import {createHash, randomUUID} from 'node:crypto';
-import type {AddressInfo} from 'node:net';
 import {connect} from 'node:net';
-import {setTimeout as wait} from 'node:timers/promises';
-import {nodeSettingsSchema} from '@sycamoreyoke/node/process/settings';
-import {systemClock} from '@sycamoreyoke/node/process/systemClock';
-import {TableClient} from '@sycamoreyoke/node/process/tableClient';
 import type {RunningNode} from '@sycamoreyoke/node/startNode';
-import {startNode} from '@sycamoreyoke/node/startNode';
 import {isWholeBody} from '@sycamoreyoke/standins/load/plainSender';
-import {startPlatform} from '@sycamoreyoke/standins/platform/platformServer';
 import type {Execution} from '@sycamoreyoke/standins/upstream/executions';
-import {behaviourSchema} from '@sycamoreyoke/standins/upstream/options';
-import {startUpstream} from '@sycamoreyoke/standins/upstream/upstreamServer';
 import {expect} from 'chai';
 import type {TimelineEvent} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {RepeatGuard} from 'sycamoreyoke/types';
-import {publishEdits} from 'sycamoreyoke/version/publish';
 import type {ConfigurationObject} from 'sycamoreyoke/version/types';
 import {ImportanceName, Lean, ObjectKind} from 'sycamoreyoke/version/types';
 import {request} from 'undici';
+import {createCaller, startInProcessFleet} from './fleet/inProcessFleet.js';
 
 const RETRIES = 2;
 const ADDRESS = '127.0.0.1';
@@ -45,16 +36,8 @@
   },
   {...COMMON, name: 'read', idempotent: true, guard: RepeatGuard.NONE},
   {...COMMON, name: 'book', idempotent: false, guard: RepeatGuard.PIN},
-  ...['site', 'desk'].map(
-    (name) =>
-      ({
-        kind: ObjectKind.CALLER,
-        name,
-        tokenSha256: createHash('sha256').update(`of-${name}`).digest('hex'),
-        classes: ['read', 'book'],
-        trusted: name === 'desk',
-      }) as const,
-  ),
+  createCaller('site', ['read', 'book'], false),
+  createCaller('desk', ['read', 'book'], true),
 ];
 
 interface Fixture {
@@ -64,53 +47,10 @@
 }
 
 async function startFixture(): Promise<Fixture> {
-  const platform = await startPlatform(0, ADDRESS);
-  const platformPort = (platform.address() as AddressInfo).port;
-  const platformUrl = `http://${ADDRESS}:${platformPort}`;
-  const edits = OBJECTS.map((object) => ({
-    kind: object.kind,
-    name: object.name,
-    object,
-  }));
-  await publishEdits(
-    {
-      table: new TableClient(platformUrl),
-      clock: systemClock,
-      random: Math.random,
-      wait,
-    },
-    {base: 0, edits, who: 'test', nonce: randomUUID()},
-  );
-  const upstream = await startUpstream(
-    {
-      name: 'a',
-      connections: 100,
-      callsBelow: [],
-      behaviour: behaviourSchema.parse({serviceTimeMs: 100, coldMs: 0}),
-    },
-    0,
-    ADDRESS,
-  );
-  const upstreamPort = (upstream.server.address() as AddressInfo).port;
-  const upstreamUrl = `http://${ADDRESS}:${upstreamPort}`;
-  const node = await startNode(
-    nodeSettingsSchema.parse({
-      service: 'tracking',
-      dataCentre: 'oviedo',
-      upstream: upstreamUrl,
-      tableUrl: platformUrl,
-      objectStoreUrl: platformUrl,
-      warmUpCalls: 0,
-      logLevel: 'error',
-    }),
-  );
-  const stop = async () => {
-    await node.stop();
-    await upstream.drain();
-    platform.close();
-    platform.closeAllConnections();
-  };
-  return {node, upstreamUrl, stop};
+  const {members, stop} = await startInProcessFleet(OBJECTS, ['tracking'], 100);
+  const [member] = members;
+  if (!member) throw new Error('the fleet has no member');
+  return {node: member.node, upstreamUrl: member.upstreamUrl, stop};
 }
 
 let shared: Promise<Fixture> | undefined;
--- a/packages/node/src/request/egressCall.ts
+++ b/packages/node/src/request/egressCall.ts
@@ -16,43 +16,24 @@
 import {checkResponse} from 'sycamoreyoke/request/responseCheck';
 import {decideRetry} from 'sycamoreyoke/request/retry';
 import type {CallHeaders} from 'sycamoreyoke/request/types';
-import type {Importance, RequestIdentity} from 'sycamoreyoke/types';
 import {Outcome, RefusalReason, RepeatGuard} from 'sycamoreyoke/types';
-import type {CompiledClass} from 'sycamoreyoke/version/compile';
 import type {ExchangeResult, ReceivedHeaders} from '../connection/exchange.js';
 import {ExchangeEnd, startExchange} from '../connection/exchange.js';
 import type {NodeParts} from '../process/nodeParts.js';
 import {collectResponseHeaders} from './httpExchange.js';
+import {
+  recordDelivery,
+  recordRefusedEarly,
+  recordRetry,
+  recordRouted,
+} from './egressEvents.js';
+import type {Delivery, OutgoingRequest} from './types.js';
 import {readChecks} from './upstreamRun.js';
 
 /** Longest wait of a first call for the members of its service. */
 const MAX_LOOK_UP_MS = 1_000;
 const LOOK_UP_POLL_MS = 50;
 
-/** A call on its way to another service. */
-export interface OutgoingRequest {
-  readonly requestId: string;
-  readonly identity: RequestIdentity;
-  readonly rootId: string;
-  readonly headers: CallHeaders;
-  readonly compiledClass: CompiledClass;
-  readonly importance: Importance;
-  /** On the clock of the node, in milliseconds. */
-  readonly deadline: number;
-  readonly allowance: number;
-  readonly method: string;
-  readonly path: string;
-  readonly passedHeaders: Readonly<Record<string, string>>;
-  readonly body: Uint8Array;
-}
-
-/** The end of a delivery. */
-export interface Delivery {
-  readonly answer: SendAnswer;
-  /** Retries used for the call, here and below. */
-  readonly retries: number;
-}
-
 /** One attempt, as the retry decision needs it. */
 interface AttemptEnd {
   readonly answer: SendAnswer;
@@ -365,46 +346,3 @@
     ? Number(value)
     : undefined;
 }
-
-function recordRouted(
-  parts: NodeParts,
-  call: OutgoingRequest,
-  member: Member,
-  attempt: number,
-): void {
-  const {service} = call.compiledClass.definition;
-  const details = {service, member: member.incarnation, attempt};
-  parts.record(EventCode.CALL_ROUTED, details, call.requestId);
-}
-
-function recordRetry(
-  parts: NodeParts,
-  call: OutgoingRequest,
-  delayMs: number,
-  allowance: number,
-): void {
-  const {service} = call.compiledClass.definition;
-  parts.metrics.count('sycamoreyoke_retries_total', {service});
-  const details = {service, delayMs, allowance};
-  parts.record(EventCode.CALL_RETRIED, details, call.requestId);
-}
-
-function recordRefusedEarly(parts: NodeParts, call: OutgoingRequest): void {
-  const {service} = call.compiledClass.definition;
-  parts.metrics.count('sycamoreyoke_refused_early_total', {service});
-  const details = {service, requestClass: call.identity.requestClass};
-  parts.record(EventCode.CALL_REFUSED_EARLY, details, call.requestId);
-}
-
-function recordDelivery(
-  parts: NodeParts,
-  call: OutgoingRequest,
-  {answer, retries}: Delivery,
-  elapsedMs: number,
-): void {
-  const {service} = call.compiledClass.definition;
-  const {outcome} = answer;
-  const status = answer.response?.status ?? 0;
-  const details = {service, outcome, status, retries, elapsedMs};
-  parts.record(EventCode.CALL_COMPLETED, details, call.requestId);
-}
--- a/packages/node/src/request/egressHandler.ts
+++ b/packages/node/src/request/egressHandler.ts
@@ -5,7 +5,6 @@
 import {RefusalReason} from 'sycamoreyoke/types';
 import type {NodeParts} from '../process/nodeParts.js';
 import type {RunningRequest} from '../process/runningRequests.js';
-import type {Delivery, OutgoingRequest} from './egressCall.js';
 import {deliverCall} from './egressCall.js';
 import {
   checkBodyDigest,
@@ -15,6 +14,7 @@
 } from './httpExchange.js';
 import {checkGuardHeaders, findClass, readHeaders} from './incomingCall.js';
 import {RefusedRequest, createRefusal} from './refusal.js';
+import type {Delivery, OutgoingRequest} from './types.js';
 
 /** Takes a call of the own upstream from its first byte to its answer. */
 export async function handleEgress(
--- a/packages/node/src/request/types.ts
+++ b/packages/node/src/request/types.ts
@@ -1,5 +1,6 @@
 import type {CompiledClass} from 'sycamoreyoke/version/compile';
 import type {EntryGrant} from 'sycamoreyoke/process/entryLedger';
+import type {SendAnswer} from 'sycamoreyoke/request/outcome';
 import type {CallHeaders} from 'sycamoreyoke/request/types';
 import type {Importance, RequestIdentity} from 'sycamoreyoke/types';
 
@@ -30,3 +31,27 @@
   readonly passedHeaders: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
 }
+
+/** A call on its way to another service. */
+export interface OutgoingRequest {
+  readonly requestId: string;
+  readonly identity: RequestIdentity;
+  readonly rootId: string;
+  readonly headers: CallHeaders;
+  readonly compiledClass: CompiledClass;
+  readonly importance: Importance;
+  /** On the clock of the node, in milliseconds. */
+  readonly deadline: number;
+  readonly allowance: number;
+  readonly method: string;
+  readonly path: string;
+  readonly passedHeaders: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+/** The end of a delivery. */
+export interface Delivery {
+  readonly answer: SendAnswer;
+  /** Retries used for the call, here and below. */
+  readonly retries: number;
+}
