--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -84,7 +84,7 @@
     for (const [name, node] of wanted) {
       this.links.set(name, new PeerLink(node, this.parts.clock, this.events));
     }
-    this.linksByService = groupByService(this.links.values());
+    this.linksByService = collectByService(this.links.values());
   }
 
   /** Some nodes of each service, and the one whose row this node keeps. */
@@ -244,7 +244,7 @@
   };
 }
 
-function groupByService(
+function collectByService(
   links: Iterable<PeerLink>,
 ): ReadonlyMap<string, readonly PeerLink[]> {
   const groups = new Map<string, PeerLink[]>();
