Read and write small messages in one step

Change: requests without a body skip the stream of the body, the host is read from the raw headers, and small responses are written as text, which the HTTP library joins with the head into one write. Kept because it does less.

--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -10,6 +10,7 @@
   UPSTREAM_IDLE_MS,
 } from '../constants.js';
 import type {Address, HeaderList} from '../types.js';
+import {getHeader} from './headerList.js';
 
 /** A request as it is written to the upstream. */
 export interface UpstreamRequest {
@@ -251,14 +252,3 @@
   if (seconds === undefined) return UPSTREAM_IDLE_MS;
   return Math.min(UPSTREAM_IDLE_MS, Number(seconds) * 1000 * KEEP_ALIVE_SHARE);
 }
-
-/** The value of a header, by its lower-case name. */
-export function getHeader(
-  headers: HeaderList,
-  wanted: string,
-): string | undefined {
-  for (let index = 0; index < headers.length; index += 2) {
-    if (headers[index]?.toLowerCase() === wanted) return headers[index + 1];
-  }
-  return undefined;
-}
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -15,6 +15,7 @@
 import type {ParentCall} from '../process/upstreamTask.js';
 import type {HeaderList, WireProtocol} from '../types.js';
 import type {Answer, RoutedRequest} from './originCall.js';
+import {getHeader} from '../connection/headerList.js';
 import {HOP_HEADERS} from './hopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
 
@@ -50,6 +51,12 @@
 const RETRY_SPREAD = 0.5;
 /** Shortest advice to a refused client, ms. */
 const SHORTEST_RETRY_MS = 100;
+/**
+ * A body up to this size is written as text, which the HTTP library joins with
+ * the head into one write; a larger one would be copied for nothing.
+ */
+const MAX_TEXT_BODY_BYTES = 16 * 1024;
+const EMPTY_BODY = new Uint8Array(0);
 /** Ranks from which on requests have the given importance. */
 const RANK_IMPORTANCE = [
   Importance.CRITICAL,
@@ -73,6 +80,10 @@
     response.once('close', () => {
       this.running -= 1;
     });
+    if (!hasBody(request.rawHeaders)) {
+      this.route(request, response, EMPTY_BODY, arrivedMs);
+      return;
+    }
     const table = this.parts.readTable();
     readBody(request, table?.limits.maxBodyBytes ?? Infinity, (body) => {
       if (!body) {
@@ -101,11 +112,12 @@
       return;
     }
     const path = request.url ?? '/';
-    const route = findRoute(table, request.headers.host ?? '', path);
+    const host = getHeader(request.rawHeaders, 'host') ?? '';
+    const route = findRoute(table, host, path);
     const service =
       route && this.parts.rotation.choose(route.name, route.targets);
     if (!route || service === undefined) {
-      this.recordUnrouted(head.requestId, request, table.version);
+      this.recordUnrouted(head.requestId, {host, path}, table.version);
       this.refuse(response, Status.NOT_FOUND, 'no route matches');
       return;
     }
@@ -193,7 +205,8 @@
     passed.push('Content-Length', String(body.length));
     if (this.parts.isStopping()) passed.push('Connection', 'close');
     response.writeHead(status, passed);
-    response.end(body);
+    if (body.length > MAX_TEXT_BODY_BYTES) response.end(body);
+    else response.end(decodeBytes(body), 'latin1');
   }
 
   private refuse(
@@ -223,11 +236,9 @@
 
   private recordUnrouted(
     requestId: string,
-    request: IncomingMessage,
+    {host, path}: {host: string; path: string},
     version: number,
   ): void {
-    const host = request.headers.host ?? '';
-    const path = request.url ?? '';
     this.parts.metrics.count('requests_unrouted_total');
     this.parts.record(
       EventCode.REQUEST_UNROUTED,
@@ -261,6 +272,20 @@
   return Math.min(deadlineMs, arrivedMs + route.targetLatencyMs);
 }
 
+/** Latin-1 text, which has one character for each byte. */
+function decodeBytes(bytes: Uint8Array): string {
+  const {buffer, byteOffset, length} = bytes;
+  return Buffer.from(buffer, byteOffset, length).toString('latin1');
+}
+
+/** Whether the head of a request announces a body. */
+function hasBody(headers: HeaderList): boolean {
+  return (
+    getHeader(headers, 'content-length') !== undefined ||
+    getHeader(headers, 'transfer-encoding') !== undefined
+  );
+}
+
 /** Reads a whole body; hands on none when it is too large. */
 function readBody(
   request: IncomingMessage,
