--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -83,4 +83,4 @@
 /** Pause before the next wait for changes of the node list, so that changes in
  * quick succession cost one read a node. A new node dials the others, so they
  * know it before its row arrives. */
-export const NODES_PAUSE_MS = 2_000;
+export const NODES_PAUSE_MS = 3_000;
--- a/packages/sidecar/src/process/decisionLog.ts
+++ b/packages/sidecar/src/process/decisionLog.ts
@@ -1,5 +1,6 @@
 /** Structured log lines within a budget; writing never blocks the process. */
-import {write} from 'node:fs';
+import {fstatSync, write} from 'node:fs';
+import {Socket} from 'node:net';
 import log from 'loglevel';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {EventDetails, EventRecorder} from 'sycamoreyoke/process/events';
@@ -9,8 +10,8 @@
 const SERVED_LINES_PER_S = 10;
 const OTHER_LINES_PER_S = 60;
 const BUDGET_WINDOW_MS = 1_000;
-/** Lines are written together this often. */
-const FLUSH_MS = 250;
+/** Lines are written together this often; each write wakes the process. */
+const FLUSH_MS = 500;
 /** Bytes that wait for a slow reader; lines beyond are dropped. */
 const MAX_BUFFER_BYTES = 256 * 1024;
 const STANDARD_OUTPUT = 1;
@@ -18,10 +19,21 @@
 /** Writes bytes and calls back when they are gone. */
 export type WriteBytes = (content: string, done: () => void) => void;
 
-/** Writes in a thread, since a pipe that nobody reads blocks the writer. */
-export const writeStandardOutput: WriteBytes = (content, done) => {
-  write(STANDARD_OUTPUT, content, () => done());
-};
+/**
+ * Writes to standard output without waiting for its reader. A pipe is written
+ * by the event loop; a file by a thread, since it has no other way.
+ */
+export function createOutputWriter(): WriteBytes {
+  const kind = fstatSync(STANDARD_OUTPUT);
+  if (!kind.isFIFO() && !kind.isSocket()) {
+    return (content, done) => write(STANDARD_OUTPUT, content, () => done());
+  }
+  const output = new Socket({fd: STANDARD_OUTPUT, readable: false});
+  // The reader of the log has gone, and with it the place to say so.
+  output.on('error', () => output.destroy());
+  output.unref();
+  return (content, done) => output.write(content, () => done());
+}
 
 /** Renders events as JSON lines. */
 export class DecisionLog {
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -25,7 +25,7 @@
   ConfigurationSource,
   ConfigurationTask,
 } from './process/configurationTask.js';
-import {DecisionLog, writeStandardOutput} from './process/decisionLog.js';
+import {DecisionLog, createOutputWriter} from './process/decisionLog.js';
 import {FleetTask} from './process/fleetTask.js';
 import {PeerTask} from './process/peerTask.js';
 import {StoreFollower} from './process/storeFollower.js';
@@ -100,7 +100,7 @@
   container
     .bind(TOKENS.log)
     .toDynamicValue(
-      () => new DecisionLog(settings.node, getClock(), writeStandardOutput),
+      () => new DecisionLog(settings.node, getClock(), createOutputWriter()),
     );
   container
     .bind(TOKENS.presence)
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,13 +1,31 @@
 // Bundles the sidecar into one file, which starts faster than many modules.
 import {build} from 'esbuild';
+import {writeCodeCache} from '../platform/dist/codeCache.js';
 
-await build({
-  entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/sycamoreyoke.cjs',
+const OPTIONS = {
   bundle: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
   minifySyntax: true,
   legalComments: 'none',
+};
+
+await build({
+  ...OPTIONS,
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/sidecar.cjs',
+});
+await build({
+  ...OPTIONS,
+  entryPoints: ['platform/src/launch.ts'],
+  outfile: 'target/sycamoreyoke.cjs',
 });
+try {
+  await writeCodeCache('target/sidecar.cache');
+} catch (error) {
+  // The sidecar also runs without the cache, only its start takes longer.
+  process.stderr.write(`no code cache: ${error.message}\n`);
+  process.exitCode = 0;
+}
+process.exit();
