Share the slack of retries among the nodes that are known now

Cause: a node fixed its part of the retry budget's slack at its first request of a service; one that starts while the store is away knows itself only and took the slack of the whole fleet.

--- a/packages/sidecar/src/process/storeFollower.ts
+++ b/packages/sidecar/src/process/storeFollower.ts
@@ -35,6 +35,11 @@
     return this.isReachable && this.version !== undefined;
   }
 
+  /** Whether the table has been read once. */
+  isListed(): boolean {
+    return this.version !== undefined;
+  }
+
   async run(): Promise<void> {
     while (!this.isStopped) {
       try {
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -20,7 +20,7 @@
 import {CallParents} from 'sycamoreyoke/process/callParents';
 import {PeerServer} from './connection/peerServer.js';
 import {UpstreamPool} from './connection/upstreamPool.js';
-import {GATE_QUEUE_LIMIT, NODES_PAUSE_MS} from './constants.js';
+import {GATE_QUEUE_LIMIT, NODES_PAUSE_MS, UNLISTED_NODES} from './constants.js';
 import {
   ConfigurationSource,
   ConfigurationTask,
@@ -222,11 +222,17 @@
   const followers = [configurationFollower, nodeFollower];
 
   const budgets = new Map<string, RetryAllowance>();
+  /** A node that has not read the list yet may know itself only. */
+  const countNodes = () =>
+    Math.max(fleet.list().length, nodeFollower.isListed() ? 1 : UNLISTED_NODES);
   const readBudget = (service: string): RetryAllowance => {
     const known = budgets.get(service);
     if (known) return known;
-    const nodes = Math.max(1, fleet.list().length);
-    const budget = createRetryAllowance(clock, settings.retryBudget, nodes);
+    const budget = createRetryAllowance(
+      clock,
+      settings.retryBudget,
+      countNodes,
+    );
     budgets.set(service, budget);
     return budget;
   };
--- a/packages/sycamoreyoke/src/process/retryAllowance.test.ts
+++ b/packages/sycamoreyoke/src/process/retryAllowance.test.ts
@@ -18,7 +18,11 @@
 }
 
 function createAllowance() {
-  const allowance = createRetryAllowance(new VirtualClock(), BUDGET, NODES);
+  const allowance = createRetryAllowance(
+    new VirtualClock(),
+    BUDGET,
+    () => NODES,
+  );
   for (let count = 0; count < REQUESTS; count += 1) allowance.recordFirst();
   return allowance;
 }
@@ -42,7 +46,11 @@
 
 // Guards against a node that sees few requests and may never retry.
 it('retry allowance: a quiet node may retry', () => {
-  const allowance = createRetryAllowance(new VirtualClock(), BUDGET, NODES);
+  const allowance = createRetryAllowance(
+    new VirtualClock(),
+    BUDGET,
+    () => NODES,
+  );
   expect(allowance.takeRetry(Importance.NORMAL, true)).to.equal(true);
 });
 
@@ -52,3 +60,16 @@
   const lost = takeAll(Importance.CRITICAL, createAllowance(), true);
   expect(lost).to.be.at.most(0.6 * refused);
 });
+
+// Guards against a node that met no others yet and keeps the slack of all.
+it('retry allowance: the slack follows the number of nodes', () => {
+  let nodes = 1;
+  const allowance = createRetryAllowance(
+    new VirtualClock(),
+    BUDGET,
+    () => nodes,
+  );
+  nodes = NODES;
+  const taken = takeAll(Importance.CRITICAL, allowance);
+  expect(taken * NODES).to.be.at.most(BUDGET.slack);
+});
