Take calls only once the upstream's own calls can be served

Machines were stopped and started in turn; a node that had started 0.3 s before (sidecar-gijon-3) offered its upstream while it had no links yet, so 29 requests ended with the upstream's 500 on their first call, and its gate then held the kind back ('overloaded' with 1 of 48 running). Change: a node reports its upstream as available, and itself as ready, once it has the configuration, the node list and a link to each known service, or 2 s after its start. A stopping node keeps its listener while requests run on its upstream, since these make calls through it.

--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -72,6 +72,9 @@
 /** After SIGTERM, requests are taken this long: two missed readiness checks
  * pass before clients go elsewhere. */
 export const STOP_LINGER_MS = 2_500;
+/** Time kept for the answers of requests when the listener closes: most calls
+ * take less. */
+export const STOP_ANSWER_MS = 1_500;
 /** Time before the end of the grace period at which the process exits. */
 export const STOP_MARGIN_MS = 400;
 
--- a/packages/sidecar/src/process/fleetTask.ts
+++ b/packages/sidecar/src/process/fleetTask.ts
@@ -28,6 +28,14 @@
     return [...this.nodes.values()];
   }
 
+  /** Services of the other nodes. */
+  listOtherServices(): ReadonlySet<string> {
+    const others = this.list().filter(
+      ({node}) => node !== this.parts.self.node,
+    );
+    return new Set(others.map(({service}) => service));
+  }
+
   /** Writes the own row until the store has it. */
   async announce(): Promise<void> {
     const {store, self, encodeNode, record} = this.parts;
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -129,6 +129,12 @@
     );
   }
 
+  /** Services with a node that can be called now. */
+  listLinkedServices(): ReadonlySet<string> {
+    const open = [...this.links.values()].filter((link) => link.isOpen());
+    return new Set(open.map(({node}) => node.service));
+  }
+
   countOpen(): number {
     return [...this.links.values()].filter((link) => link.isOpen()).length;
   }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -4,12 +4,15 @@
 import {
   ROW_CHECK_MS,
   ROW_REMOVAL_MS,
+  STOP_ANSWER_MS,
   STOP_LINGER_MS,
   STOP_MARGIN_MS,
 } from './constants.js';
 import {applyBounds, openListener} from './process/httpListeners.js';
 import type {SidecarParts} from './wiring.js';
 
+/** Interval at which a starting process looks whether it can take calls, ms. */
+const START_POLL_MS = 50;
 /** Interval at which a stopping process looks for requests in flight, ms. */
 const STOP_POLL_MS = 50;
 
@@ -51,12 +54,22 @@
       const lost = parts.peers.listUnreachable(ROW_REMOVAL_MS);
       if (lost.size > 0) void parts.fleet.removeUnreachable(lost);
     }, ROW_CHECK_MS);
+    this.watchStart();
     record(EventCode.NODE_STARTED, {
       service: settings.service,
       peerPort: settings.peerPort,
     });
   }
 
+  /** Tells the other nodes once this one takes calls. */
+  private watchStart(): void {
+    const timer = setInterval(() => {
+      if (!this.parts.checkStarted()) return;
+      clearInterval(timer);
+      this.parts.peerServer.announceReport();
+    }, START_POLL_MS);
+  }
+
   /** Adds a listener that ends with the process. */
   add(server: Server): void {
     this.servers.push(server);
@@ -69,10 +82,7 @@
   }
 
   isReady(): boolean {
-    return (
-      !this.parts.lifecycle.isStopping &&
-      this.parts.configuration.read() !== undefined
-    );
+    return !this.parts.lifecycle.isStopping && this.parts.checkStarted();
   }
 
   /**
@@ -91,7 +101,7 @@
     const startedMs = parts.clock.readMs();
     const endMs = startedMs + parts.settings.graceMs - STOP_MARGIN_MS;
     parts.peerServer.announceReport();
-    while (this.needsLinger(startedMs)) await wait(STOP_POLL_MS);
+    while (this.needsLinger(startedMs, endMs)) await wait(STOP_POLL_MS);
     // A connection with a request on it stays open until it is answered.
     for (const server of this.servers) server.close();
     while (this.hasWork() && parts.clock.readMs() < endMs) {
@@ -111,8 +121,15 @@
     parts.log.flush();
   }
 
-  private needsLinger(startedMs: number): boolean {
-    return this.parts.clock.readMs() < startedMs + STOP_LINGER_MS;
+  /**
+   * Requests that still run on the upstream make calls, so the listener stays
+   * for them, but leaves time for the requests that it has taken.
+   */
+  private needsLinger(startedMs: number, endMs: number): boolean {
+    const nowMs = this.parts.clock.readMs();
+    if (nowMs < startedMs + STOP_LINGER_MS) return true;
+    const hasCalls = this.parts.upstream.countCalls() > 0;
+    return hasCalls && nowMs < endMs - STOP_ANSWER_MS;
   }
 
   private hasWork(): boolean {
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -13,6 +13,7 @@
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
 import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {createRetryAllowance} from 'sycamoreyoke/process/retryAllowance';
+import {isStarted} from 'sycamoreyoke/process/startPhase';
 import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
 import {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Random} from 'sycamoreyoke/random';
@@ -66,6 +67,8 @@
   readonly configuration: ConfigurationTask;
   readonly followers: readonly StoreFollower[];
   readonly lifecycle: SidecarLifecycle;
+  /** Whether the start is over; looks again until it is. */
+  readonly checkStarted: () => boolean;
 }
 
 /** State of the process that its listeners consult. */
@@ -159,10 +162,26 @@
     record,
     handleChange: () => peerServer.announceReport(),
   });
-  /** A stopping node leaves new work to the others. */
+  const startedMs = clock.readMs();
+  let hasStarted = false;
+  const checkStarted = (): boolean => {
+    hasStarted ||= isStarted({
+      hasConfiguration: configuration.read() !== undefined,
+      isListed: nodeFollower.isListed(),
+      knownServices: fleet.listOtherServices(),
+      linkedServices: peers.listLinkedServices(),
+      elapsedMs: clock.readMs() - startedMs,
+    });
+    return hasStarted;
+  };
+  /** Nodes that start or stop leave new work to the others. */
   const describeOwnLoad = (): UpstreamLoad => {
     const load = upstream.describeLoad();
-    return lifecycle.isStopping ? {...load, isDraining: true} : load;
+    return {
+      ...load,
+      isAvailable: load.isAvailable && hasStarted,
+      isDraining: load.isDraining || lifecycle.isStopping,
+    };
   };
   const describeReport = (): NodeReport => ({
     configurationVersion: configuration.readVersion(),
@@ -270,5 +289,6 @@
     configuration,
     followers,
     lifecycle,
+    checkStarted,
   };
 }
