Run late requests on gates with room

Change: a gate below 0.7 of its limit, with nothing waiting, goes by the time until the caller gives up; a busier one as before by the time of full use.

--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -4,6 +4,7 @@
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {AdaptiveGate} from 'sycamoreyoke/process/gate';
+import {computeGateDeadline} from 'sycamoreyoke/process/gateDeadline';
 import type {CallParents} from 'sycamoreyoke/process/callParents';
 import type {GateParameters} from 'sycamoreyoke/process/gateParameters';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
@@ -164,7 +165,14 @@
     const arrival = {
       ticket,
       importance: call.importance,
-      deadline: nowMs + Math.min(call.leftMs, call.usefulMs),
+      deadline: computeGateDeadline({
+        nowMs,
+        leftMs: call.leftMs,
+        usefulMs: call.usefulMs,
+        running: this.gate.countRunning(),
+        waiting: this.gate.countWaiting(),
+        limit: this.gate.readLimit(),
+      }),
       requestClass: call.kind,
     };
     this.apply(this.gate.offer(arrival));
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/gateDeadline.test.ts
@@ -0,0 +1,82 @@
+import {expect} from 'chai';
+import {VirtualClock} from '../clock.js';
+import {Importance} from '../types.js';
+import {AdaptiveGate} from './gate.js';
+import {computeGateDeadline} from './gateDeadline.js';
+import {GOODPUT_PARAMETERS} from './gateParameters.js';
+import {Completion, GateActionKind} from './types.js';
+
+const LIMIT = 16;
+const SERVICE_MS = 640;
+const OFFER = {nowMs: 0, leftMs: 2_280, usefulMs: 280, limit: LIMIT};
+
+/** A gate on which requests have taken 640 ms each. */
+function createGate(clock: VirtualClock): AdaptiveGate {
+  const gate = new AdaptiveGate({
+    clock,
+    limiter: {readLimit: () => LIMIT, observe: () => undefined},
+    parameters: GOODPUT_PARAMETERS,
+    report: (invariant, detail) => {
+      throw new Error(`${invariant}: ${detail}`);
+    },
+  });
+  for (let count = 0; count < 40; count += 1) {
+    offer(gate, clock, `warm-${count}`, 5_000, 5_000);
+    clock.advance(SERVICE_MS);
+    gate.finish(`warm-${count}`, Completion.SUCCEEDED);
+  }
+  return gate;
+}
+
+function offer(
+  gate: AdaptiveGate,
+  clock: VirtualClock,
+  ticket: string,
+  leftMs: number,
+  usefulMs: number,
+) {
+  const nowMs = clock.readMs();
+  const deadline = computeGateDeadline({
+    nowMs,
+    leftMs,
+    usefulMs,
+    running: gate.countRunning(),
+    waiting: gate.countWaiting(),
+    limit: gate.readLimit(),
+  });
+  const [action] = gate.offer({
+    ticket,
+    importance: Importance.HIGH,
+    deadline,
+    requestClass: 'photos',
+  });
+  return action?.kind;
+}
+
+// Guards against a failure for a caller that has 2 s left, beside free slots:
+// its first send was lost, and the time for a response in time had passed.
+it('gate deadline: a free gate runs a request that will be late', () => {
+  const clock = new VirtualClock();
+  const gate = createGate(clock);
+  expect(offer(gate, clock, 'late', 2_280, 280)).to.equal(GateActionKind.START);
+});
+
+// Guards against late requests that fill the slots of those in time.
+it('gate deadline: a busy gate keeps its slots for requests in time', () => {
+  const clock = new VirtualClock();
+  const gate = createGate(clock);
+  for (let count = 0; count < 12; count += 1) {
+    offer(gate, clock, `busy-${count}`, 5_000, 2_000);
+  }
+  const late = offer(gate, clock, 'late', 2_280, 280);
+  expect(late).to.equal(GateActionKind.REFUSE);
+  expect(offer(gate, clock, 'timely', 4_000, 2_000)).to.equal(
+    GateActionKind.START,
+  );
+});
+
+it('gate deadline: the time until the caller gives up bounds both', () => {
+  const short = {...OFFER, leftMs: 100, waiting: 0};
+  expect(computeGateDeadline({...short, running: 0})).to.equal(100);
+  expect(computeGateDeadline({...short, running: LIMIT})).to.equal(100);
+});
