Log requests that are refused before they are routed

Change: each such refusal has a line and a counter; lines of links and members have a budget of their own (10 a second, others 50, served 10). Measured: the volume stays bounded by 70 lines a second; test 'decision log: lines of links leave room for those of requests'.

--- a/packages/sidecar/src/process/decisionLog.test.ts
+++ b/packages/sidecar/src/process/decisionLog.test.ts
@@ -48,3 +48,19 @@
   expect(written.length).to.equal(1);
   expect(log.countBytes()).to.be.at.most(BYTES_WAITING);
 });
+
+// Guards against a start whose lines of links hide the requests that fail in
+// the same second.
+it('decision log: lines of links leave room for those of requests', () => {
+  const written: string[] = [];
+  const log = new DecisionLog('n', new VirtualClock(), (content, done) => {
+    written.push(content);
+    done();
+  });
+  for (let count = 0; count < 100; count += 1) {
+    log.record(EventCode.LINK_UP, {node: `n-${count}`});
+  }
+  log.record(EventCode.REQUEST_REFUSED, {reason: 'x'}, 'r-1');
+  log.flush();
+  expect(written.join('')).to.contain('"requestId":"r-1"');
+});
--- a/packages/sidecar/src/process/decisionLog.ts
+++ b/packages/sidecar/src/process/decisionLog.ts
@@ -6,9 +6,26 @@
 import type {EventDetails, EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 
-/** Lines a second of requests that were served, and of all others. */
-const SERVED_LINES_PER_S = 10;
-const OTHER_LINES_PER_S = 60;
+/** Kinds of lines with a budget of their own, so that none hides another. */
+enum LineKind {
+  /** Requests that were served. */
+  SERVED,
+  /** Links and members, of which a start brings tens at once. */
+  NEIGHBOUR,
+  OTHER,
+}
+
+/** Lines a second. */
+const LINE_BUDGETS: Readonly<Record<LineKind, number>> = {
+  [LineKind.SERVED]: 10,
+  [LineKind.NEIGHBOUR]: 10,
+  [LineKind.OTHER]: 50,
+};
+const NEIGHBOUR_CODES: ReadonlySet<EventCode> = new Set([
+  EventCode.LINK_UP,
+  EventCode.LINK_DOWN,
+  EventCode.MEMBER_JOINED,
+]);
 const BUDGET_WINDOW_MS = 1_000;
 /** Lines are written together this often; each write wakes the process. */
 const FLUSH_MS = 500;
@@ -41,8 +58,7 @@
   private bytes = 0;
   private isWriting = false;
   private windowMs = -Infinity;
-  private servedLines = 0;
-  private otherLines = 0;
+  private lineCounts = createLineCounts();
   private dropped = 0;
   private timer: NodeJS.Timeout | undefined;
 
@@ -108,8 +124,7 @@
     const nowMs = this.clock.readMs();
     if (nowMs - this.windowMs < BUDGET_WINDOW_MS) return;
     this.windowMs = nowMs;
-    this.servedLines = 0;
-    this.otherLines = 0;
+    this.lineCounts = createLineCounts();
     if (this.dropped === 0) return;
     const lines = this.dropped;
     this.dropped = 0;
@@ -117,12 +132,9 @@
   }
 
   private takeLine(code: EventCode): boolean {
-    if (isServed(code)) {
-      this.servedLines += 1;
-      return this.servedLines <= SERVED_LINES_PER_S;
-    }
-    this.otherLines += 1;
-    return this.otherLines <= OTHER_LINES_PER_S;
+    const kind = identifyKind(code);
+    this.lineCounts[kind] += 1;
+    return this.lineCounts[kind] <= LINE_BUDGETS[kind];
   }
 
   private add(line: string): void {
@@ -143,8 +155,17 @@
   }
 }
 
-function isServed(code: EventCode): boolean {
-  return (
-    code === EventCode.CALL_COMPLETED || code === EventCode.REQUEST_FINISHED
-  );
+function createLineCounts(): Record<LineKind, number> {
+  return {
+    [LineKind.SERVED]: 0,
+    [LineKind.NEIGHBOUR]: 0,
+    [LineKind.OTHER]: 0,
+  };
+}
+
+function identifyKind(code: EventCode): LineKind {
+  const isServed =
+    code === EventCode.CALL_COMPLETED || code === EventCode.REQUEST_FINISHED;
+  if (isServed) return LineKind.SERVED;
+  return NEIGHBOUR_CODES.has(code) ? LineKind.NEIGHBOUR : LineKind.OTHER;
 }
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -87,7 +87,12 @@
     const table = this.parts.readTable();
     readBody(request, table?.limits.maxBodyBytes ?? Infinity, (body) => {
       if (!body) {
-        this.refuse(response, Status.TOO_LARGE, 'request body is too large');
+        this.refuseEarly(
+          request,
+          response,
+          Status.TOO_LARGE,
+          'body is too large',
+        );
         return;
       }
       this.route(request, response, body, arrivedMs);
@@ -103,12 +108,18 @@
     const table = this.parts.readTable();
     if (!table) {
       const message = 'no configuration has arrived yet';
-      this.refuse(response, Status.UNAVAILABLE, message, STARTING_RETRY_MS);
+      this.refuseEarly(
+        request,
+        response,
+        Status.UNAVAILABLE,
+        message,
+        STARTING_RETRY_MS,
+      );
       return;
     }
     const head = this.parts.wire.readClientHead(request.rawHeaders);
     if (head.requestId === undefined) {
-      this.refuse(response, Status.BAD_REQUEST, 'request has no id');
+      this.refuseEarly(request, response, Status.BAD_REQUEST, 'no request id');
       return;
     }
     const path = request.url ?? '/';
@@ -234,6 +245,21 @@
     response.end(body);
   }
 
+  /** Answers a request that was not offered to any node. */
+  private refuseEarly(
+    request: IncomingMessage,
+    response: ServerResponse,
+    status: Status,
+    reason: string,
+    retryMs?: number,
+  ): void {
+    const {requestId} = this.parts.wire.readClientHead(request.rawHeaders);
+    const details = {answer: AnswerKind.NOT_RUN, status, reason};
+    this.parts.metrics.count('requests_turned_away_total', {reason});
+    this.parts.record(EventCode.REQUEST_REFUSED, details, requestId);
+    this.refuse(response, status, reason, retryMs);
+  }
+
   private recordUnrouted(
     requestId: string,
     {host, path}: {host: string; path: string},
