--- a/packages/sycamoreyoke/src/process/gate.test.ts
+++ b/packages/sycamoreyoke/src/process/gate.test.ts
@@ -253,3 +253,23 @@
   expect(countStarts(Importance.HIGH)).to.be.below(30);
   expect(countStarts(Importance.CRITICAL)).to.equal(200);
 });
+
+// Guards against clients that return within 50 ms, while their kind is still
+// held back, and spend their last try on another refusal.
+it('gate: a kind that is held back is told to return later', () => {
+  const clock = new VirtualClock();
+  const gate = createGate(1, clock);
+  const advice: number[] = [];
+  for (let index = 0; index < 200; index += 1) {
+    const ticket = `held-${index}`;
+    const deadline = clock.readMs() + 5_000;
+    const importance = Importance.HIGH;
+    const [action] = gate.offer({ticket, importance, deadline});
+    clock.advance(1);
+    if (action?.kind === GateActionKind.REFUSE)
+      advice.push(action.retryAfterMs);
+    else gate.finish(ticket, Completion.SHED_DOWNSTREAM);
+  }
+  expect(advice.length).to.be.above(100);
+  expect(Math.min(...advice)).to.be.at.least(1_000);
+});
--- a/packages/sycamoreyoke/src/process/gate.ts
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -26,6 +26,12 @@
 const SHORTEST_RETRY_AFTER_MS = 50;
 const LONGEST_RETRY_AFTER_MS = 2_000;
 
+/**
+ * The same for a kind that is held back. What happens further down lasts for
+ * seconds; a client that returns at once is refused again and has lost its try.
+ */
+const HELD_BACK_RETRY_MS = 1_000;
+
 /** What a gate is built from. */
 export interface GateParts {
   readonly clock: Clock;
@@ -82,12 +88,13 @@
     if (isTooLate(arrival, needMs, nowMs)) {
       return [this.createRefusal(arrival, RefusalReason.DEADLINE)];
     }
-    if (
-      this.isOvercrowded(arrival, needMs, nowMs) ||
-      !this.isPromising(arrival, nowMs)
-    ) {
+    if (this.isOvercrowded(arrival, needMs, nowMs)) {
       return [this.createRefusal(arrival, RefusalReason.OVERLOADED)];
     }
+    if (!this.isPromising(arrival, nowMs)) {
+      const reason = RefusalReason.OVERLOADED;
+      return [this.createRefusal(arrival, reason, HELD_BACK_RETRY_MS)];
+    }
     this.estimate.observeSlack(arrival, arrival.deadline - nowMs - needMs);
     this.addWaiting(arrival, nowMs);
     const actions = this.startWaiting(nowMs);
@@ -319,13 +326,17 @@
     this.waitingByImportance[importance] = count + change;
   }
 
-  private createRefusal(arrival: Arrival, reason: RefusalReason): GateAction {
+  private createRefusal(
+    arrival: Arrival,
+    reason: RefusalReason,
+    retryAfterMs = this.computeRetryAfterMs(),
+  ): GateAction {
     this.checkRefusal(arrival, reason);
     return {
       kind: GateActionKind.REFUSE,
       ticket: arrival.ticket,
       reason,
-      retryAfterMs: this.computeRetryAfterMs(),
+      retryAfterMs,
     };
   }
 
