Group by service with one function

Cause: links and nodes were grouped by two copies of one loop. Change: collectByService takes the reader of the service. Measured: no behaviour changed; linter and type check clean.

--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -99,19 +99,17 @@
     for (const [name, node] of wanted) {
       this.links.set(name, new PeerLink(node, this.parts.clock, this.events));
     }
-    this.linksByService = collectByService(this.links.values());
+    this.linksByService = collectByService(
+      this.links.values(),
+      ({node}) => node.service,
+    );
   }
 
   /** Some nodes of each service, and the one whose row this node keeps. */
   private chooseLinked(nodes: readonly NodeRecord[]): readonly NodeRecord[] {
     const {self} = this.parts;
     const others = nodes.filter(({node}) => node !== self.node);
-    const byService = new Map<string, NodeRecord[]>();
-    for (const node of others) {
-      const group = byService.get(node.service);
-      if (group) group.push(node);
-      else byService.set(node.service, [node]);
-    }
+    const byService = collectByService(others, ({service}) => service);
     const chosen = new Set(
       [...byService.values()].flatMap((group) =>
         chooseSubset(self, group, LINK_BOUNDS),
@@ -266,14 +264,16 @@
   };
 }
 
-function collectByService(
-  links: Iterable<PeerLink>,
-): ReadonlyMap<string, readonly PeerLink[]> {
-  const groups = new Map<string, PeerLink[]>();
-  for (const link of links) {
-    const group = groups.get(link.node.service);
-    if (group) group.push(link);
-    else groups.set(link.node.service, [link]);
+function collectByService<T>(
+  items: Iterable<T>,
+  readService: (item: T) => string,
+): ReadonlyMap<string, readonly T[]> {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const service = readService(item);
+    const group = groups.get(service);
+    if (group) group.push(item);
+    else groups.set(service, [item]);
   }
   return groups;
 }
