--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -26,6 +26,5 @@
 } catch (error) {
   // The sidecar also runs without the cache, only its start takes longer.
   process.stderr.write(`no code cache: ${error.message}\n`);
-  process.exitCode = 0;
 }
 process.exit();
