Log client connections that end with requests on them

Nothing told of a request that was read and whose connection ended before its response was complete: the handler of 'close' only cancels calls that are still running, and a pipelined response that waits behind another one gets no 'close' at all. No change of logic.

--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -1,5 +1,6 @@
 /** Reads requests at the outbound address and writes their answers. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
@@ -15,6 +16,7 @@
 import type {ParentCall} from '../process/upstreamTask.js';
 import type {HeaderList, WireProtocol} from '../types.js';
 import type {Answer, RoutedRequest} from './originCall.js';
+import {ClientConnection} from '../connection/clientConnection.js';
 import {getHeader} from '../connection/headerList.js';
 import {HOP_HEADERS} from './hopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
@@ -67,6 +69,7 @@
 /** Serves the outbound address. */
 export class OriginHandler {
   private running = 0;
+  private readonly connections = new WeakMap<Socket, ClientConnection>();
 
   constructor(private readonly parts: OriginHandlerParts) {}
 
@@ -77,6 +80,7 @@
   handle(request: IncomingMessage, response: ServerResponse): void {
     const arrivedMs = this.parts.clock.readMs();
     this.running += 1;
+    this.findConnection(request.socket).add(response);
     response.once('close', () => {
       this.running -= 1;
     });
@@ -99,6 +103,14 @@
     });
   }
 
+  private findConnection(socket: Socket): ClientConnection {
+    const known = this.connections.get(socket);
+    if (known) return known;
+    const connection = new ClientConnection(socket, this.parts);
+    this.connections.set(socket, connection);
+    return connection;
+  }
+
   private route(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -145,6 +145,14 @@
     'A connection that went silent was replaced.',
     'origin',
   ),
+  [EventCode.CLIENT_CONNECTION_CUT]: describe(
+    'The connection of a client ended before all requests that were read on it had their complete response.',
+    'endedBy',
+    'accepted',
+    'unanswered',
+    'unwritten',
+    'isStopping',
+  ),
   [EventCode.CLAIM_MADE]: describe(
     'The row of an idempotency key is held by this node.',
     'elapsedMs: ms',
