Answer every request of a connection before it ends

Callers saw requests that had run and whose connection ended without a response, when the process that took them stopped and at other times.

Cause: the end of a client connection was left to the HTTP library, which knows of one response at a time. 'Connection: close' on any response ends the socket behind it although later, pipelined requests were read and passed on. closeIdleConnections(), also called by close(), takes a connection for idle as soon as its response is buffered, so a client that reads slowly loses the rest. The socket is destroyed behind the last response, which resets it when the client has sent more. Bytes that are no request, and a head that takes too long, destroy the socket although earlier requests run. A pipelined response gets no 'close' when its client leaves, so its call went on and the stop waited for it.

--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -71,14 +71,10 @@
 export const STORE_RETRY_MIN_MS = 100;
 export const STORE_RETRY_MAX_MS = 1_000;
 
-/** After SIGTERM, requests are taken this long: two missed readiness checks
- * pass before clients go elsewhere. */
-export const STOP_LINGER_MS = 2_500;
-/** Time kept for the answers of requests when the listener closes: most calls
- * take less. */
-export const STOP_ANSWER_MS = 1_500;
-/** Time before the end of the grace period at which the process exits. */
-export const STOP_MARGIN_MS = 400;
+/** Time in which a client may close its side of a connection that ends. */
+export const CLIENT_LINGER_MS = 500;
+/** Advice to clients of a node that stops: it is back about then. */
+export const STOP_RETRY_MS = 1_000;
 
 /** Silence after which the row of a node is removed: longer than a restart or
  * the partitions that are seen daily. */
--- a/packages/sidecar/src/process/httpListeners.ts
+++ b/packages/sidecar/src/process/httpListeners.ts
@@ -18,28 +18,32 @@
 /** Connections that wait to be accepted; clients come in bursts. */
 const BACKLOG = 1_024;
 
+/** Options of all listeners. */
+export const LISTENER_OPTIONS = {
+  noDelay: true,
+  keepAlive: false,
+  maxHeaderSize: DEFAULT_BOUNDS.maxHeaderBytes,
+  connectionsCheckingInterval: 2_000,
+} as const;
+
 /** Opens a listener. */
 export function openListener(
   address: Address,
   handle: RequestListener,
 ): Promise<Server> {
-  const server = createServer(
-    {
-      noDelay: true,
-      keepAlive: false,
-      maxHeaderSize: DEFAULT_BOUNDS.maxHeaderBytes,
-      connectionsCheckingInterval: 2_000,
-    },
-    handle,
-  );
+  const server = createServer(LISTENER_OPTIONS, handle);
+  return listen(server, address).then(() => server);
+}
+
+/** Binds a server to an address, with default bounds. */
+export function listen(server: Server, {host, port}: Address): Promise<void> {
   applyBounds(server, DEFAULT_BOUNDS);
   server.requestTimeout = 0;
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    const {host, port} = address;
     server.listen({host, port, backlog: BACKLOG}, () => {
       server.off('error', reject);
-      resolve(server);
+      resolve();
     });
   });
 }
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -103,6 +103,16 @@
     this.pending?.cancel();
   }
 
+  /** Answers now with what is known; a call under way may have run. */
+  end(reason: GateReason): void {
+    if (this.isEnded) return;
+    this.pending?.cancel();
+    this.answer(
+      this.sends > 0 ? AnswerKind.UNKNOWN : AnswerKind.NOT_RUN,
+      createFailure(SendEnd.LOST, reason),
+    );
+  }
+
   private send(): void {
     const {request, parts} = this;
     const nowMs = parts.clock.readMs();
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -1,6 +1,5 @@
 /** Reads requests at the outbound address and writes their answers. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import type {IncomingMessage} from 'node:http';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
@@ -14,9 +13,10 @@
 import {DEFAULT_TIMEOUT_MS} from '../constants.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {ParentCall} from '../process/upstreamTask.js';
-import type {HeaderList, WireProtocol} from '../types.js';
+import type {CallResult, HeaderList, WireProtocol} from '../types.js';
 import type {Answer, RoutedRequest} from './originCall.js';
-import {ClientConnection} from '../connection/clientConnection.js';
+import type {ClientExchange} from '../connection/clientExchange.js';
+import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
 import {HOP_HEADERS} from './hopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
@@ -35,7 +35,6 @@
   readonly readBudget: (service: string) => RetryAllowance;
   /** The running request for which a call is made, if any. */
   readonly startChildCall: (deadlineMs: number) => ParentCall | undefined;
-  readonly isStopping: () => boolean;
 }
 
 enum Status {
@@ -53,11 +52,6 @@
 const RETRY_SPREAD = 0.5;
 /** Shortest advice to a refused client, ms. */
 const SHORTEST_RETRY_MS = 100;
-/**
- * A body up to this size is written as text, which the HTTP library joins with
- * the head into one write; a larger one would be copied for nothing.
- */
-const MAX_TEXT_BODY_BYTES = 16 * 1024;
 const EMPTY_BODY = new Uint8Array(0);
 /** Ranks from which on requests have the given importance. */
 const RANK_IMPORTANCE = [
@@ -68,61 +62,39 @@
 
 /** Serves the outbound address. */
 export class OriginHandler {
-  private running = 0;
-  private readonly connections = new WeakMap<Socket, ClientConnection>();
+  /** Requests without an answer, and the call of each that was routed. */
+  private readonly open = new Map<ClientExchange, OriginCall | undefined>();
 
   constructor(private readonly parts: OriginHandlerParts) {}
 
-  countRunning(): number {
-    return this.running;
-  }
-
-  handle(request: IncomingMessage, response: ServerResponse): void {
+  handle(exchange: ClientExchange): void {
     const arrivedMs = this.parts.clock.readMs();
-    this.running += 1;
-    this.findConnection(request.socket).add(response);
-    response.once('close', () => {
-      this.running -= 1;
-    });
+    const {request} = exchange;
+    this.open.set(exchange, undefined);
+    exchange.handleClose(() => this.open.delete(exchange));
     if (!hasBody(request.rawHeaders)) {
-      this.route(request, response, EMPTY_BODY, arrivedMs);
+      this.route(exchange, EMPTY_BODY, arrivedMs);
       return;
     }
     const table = this.parts.readTable();
     readBody(request, table?.limits.maxBodyBytes ?? Infinity, (body) => {
-      if (!body) {
-        this.refuseEarly(
-          request,
-          response,
-          Status.TOO_LARGE,
-          'body is too large',
-        );
-        return;
-      }
-      this.route(request, response, body, arrivedMs);
+      if (body) this.route(exchange, body, arrivedMs);
+      else this.refuseEarly(exchange, Status.TOO_LARGE, 'body is too large');
     });
   }
 
-  private findConnection(socket: Socket): ClientConnection {
-    const known = this.connections.get(socket);
-    if (known) return known;
-    const connection = new ClientConnection(socket, this.parts);
-    this.connections.set(socket, connection);
-    return connection;
-  }
-
   private route(
-    request: IncomingMessage,
-    response: ServerResponse,
+    exchange: ClientExchange,
     body: Uint8Array,
     arrivedMs: number,
   ): void {
+    if (exchange.state !== ExchangeState.RUNNING) return;
+    const {request} = exchange;
     const table = this.parts.readTable();
     if (!table) {
       const message = 'no configuration has arrived yet';
       this.refuseEarly(
-        request,
-        response,
+        exchange,
         Status.UNAVAILABLE,
         message,
         STARTING_RETRY_MS,
@@ -130,25 +102,26 @@
       return;
     }
     const head = this.parts.wire.readClientHead(request.rawHeaders);
-    if (head.requestId === undefined) {
-      this.refuseEarly(request, response, Status.BAD_REQUEST, 'no request id');
+    const host = getHeader(request.rawHeaders, 'host');
+    if (head.requestId === undefined || host === undefined) {
+      this.refuseEarly(exchange, Status.BAD_REQUEST, 'no request id or host');
       return;
     }
     const path = request.url ?? '/';
-    const host = getHeader(request.rawHeaders, 'host') ?? '';
     const route = findRoute(table, host, path);
     const service =
       route && this.parts.rotation.choose(route.name, route.targets);
     if (!route || service === undefined) {
       this.recordUnrouted(head.requestId, {host, path}, table.version);
-      this.refuse(response, Status.NOT_FOUND, 'no route matches');
+      this.refuse(exchange, Status.NOT_FOUND, 'no route matches');
       return;
     }
     const leftMs = head.leftMs ?? DEFAULT_TIMEOUT_MS;
-    const deadlineMs = arrivedMs + Math.min(leftMs, route.timeoutMs);
     const parent = this.parts.startChildCall(arrivedMs + leftMs);
+    if (parent) exchange.handleClose(() => parent.finish());
+    const deadlineMs = arrivedMs + Math.min(leftMs, route.timeoutMs);
     const importance = chooseImportance(route, parent);
-    this.start(response, {
+    this.start(exchange, {
       requestId: head.requestId,
       route,
       service,
@@ -168,10 +141,9 @@
       configurationVersion: table.version,
       parentId: parent?.requestId,
     });
-    if (parent) response.once('close', () => parent.finish());
   }
 
-  private start(response: ServerResponse, routed: RoutedRequest): void {
+  private start(exchange: ClientExchange, routed: RoutedRequest): void {
     const {clock, peers, service, record, metrics, readBudget} = this.parts;
     const call = new OriginCall(routed, {
       clock,
@@ -180,27 +152,28 @@
       record,
       metrics,
       readBudget,
-      handle: (answer) => this.answer(response, routed, answer),
+      handle: (answer) => this.answer(exchange, routed, answer),
     });
-    response.once('close', () => {
-      if (!response.writableFinished) call.cancel();
+    this.open.set(exchange, call);
+    exchange.handleClose((isCut) => {
+      if (isCut) call.cancel();
     });
     call.start();
   }
 
   private answer(
-    response: ServerResponse,
+    exchange: ClientExchange,
     {requestId}: RoutedRequest,
     {kind, result}: Answer,
   ): void {
     if (kind === AnswerKind.RESPONSE) {
-      this.writeResponse(response, result.status, result.headers, result.body);
+      this.forward(exchange, result);
       return;
     }
     if (kind === AnswerKind.NOT_RUN) {
       const message = `request ${requestId} was not run: ${result.reason}`;
       const retryMs = Math.max(SHORTEST_RETRY_MS, result.retryAfterMs);
-      this.refuse(response, Status.UNAVAILABLE, message, retryMs);
+      this.refuse(exchange, Status.UNAVAILABLE, message, retryMs);
       return;
     }
     const status =
@@ -208,68 +181,53 @@
         ? Status.GATEWAY_TIMEOUT
         : Status.BAD_GATEWAY;
     const message = `request ${requestId} may have run: ${result.reason}`;
-    this.refuse(response, status, message);
+    this.refuse(exchange, status, message);
   }
 
-  private writeResponse(
-    response: ServerResponse,
-    status: number,
-    headers: HeaderList,
-    body: Uint8Array,
+  /** Passes the response of an upstream on. */
+  private forward(
+    exchange: ClientExchange,
+    {status, headers, body}: CallResult,
   ): void {
-    if (response.destroyed) return;
-    response.sendDate = false;
     const passed: string[] = [];
     for (let index = 0; index < headers.length; index += 2) {
       const name = headers[index] ?? '';
       if (HOP_HEADERS.has(name.toLowerCase())) continue;
       passed.push(name, headers[index + 1] ?? '');
     }
-    passed.push('Content-Length', String(body.length));
-    if (this.parts.isStopping()) passed.push('Connection', 'close');
-    response.writeHead(status, passed);
-    if (body.length > MAX_TEXT_BODY_BYTES) response.end(body);
-    else response.end(decodeBytes(body), 'latin1');
+    exchange.answer({status, headers: passed, body});
   }
 
   private refuse(
-    response: ServerResponse,
+    exchange: ClientExchange,
     status: Status,
     message: string,
     retryMs?: number,
   ): void {
-    if (response.destroyed) return;
     const body = Buffer.from(`${JSON.stringify({error: message})}\n`);
-    const headers = [
-      'Content-Type',
-      'application/json',
-      'Content-Length',
-      String(body.length),
-    ];
+    const headers = ['Content-Type', 'application/json'];
     if (retryMs !== undefined) {
       const spreadMs = retryMs * (1 + RETRY_SPREAD * this.parts.random());
       headers.push('Retry-After', (spreadMs / 1000).toFixed(3));
     }
-    if (this.parts.isStopping() || status === Status.TOO_LARGE) {
-      headers.push('Connection', 'close');
-    }
-    response.writeHead(status, headers);
-    response.end(body);
+    const {complete, rawHeaders} = exchange.request;
+    const endsConnection = hasBody(rawHeaders) && !complete;
+    exchange.answer({status, headers, body, endsConnection});
   }
 
   /** Answers a request that was not offered to any node. */
   private refuseEarly(
-    request: IncomingMessage,
-    response: ServerResponse,
+    exchange: ClientExchange,
     status: Status,
     reason: string,
     retryMs?: number,
   ): void {
-    const {requestId} = this.parts.wire.readClientHead(request.rawHeaders);
+    const {rawHeaders} = exchange.request;
+    const {requestId} = this.parts.wire.readClientHead(rawHeaders);
     const details = {answer: AnswerKind.NOT_RUN, status, reason};
     this.parts.metrics.count('requests_turned_away_total', {reason});
     this.parts.record(EventCode.REQUEST_REFUSED, details, requestId);
-    this.refuse(response, status, reason, retryMs);
+    this.refuse(exchange, status, reason, retryMs);
   }
 
   private recordUnrouted(
@@ -310,12 +268,6 @@
   return Math.min(deadlineMs, arrivedMs + route.targetLatencyMs);
 }
 
-/** Latin-1 text, which has one character for each byte. */
-function decodeBytes(bytes: Uint8Array): string {
-  const {buffer, byteOffset, length} = bytes;
-  return Buffer.from(buffer, byteOffset, length).toString('latin1');
-}
-
 /** Whether the head of a request announces a body. */
 function hasBody(headers: HeaderList): boolean {
   return (
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,14 +1,9 @@
 /** The process: opens the listeners, becomes ready, stops without a cut. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {EventCode} from 'sycamoreyoke/process/events';
-import {
-  ROW_CHECK_MS,
-  ROW_REMOVAL_MS,
-  STOP_ANSWER_MS,
-  STOP_LINGER_MS,
-  STOP_MARGIN_MS,
-} from './constants.js';
-import {applyBounds, openListener} from './process/httpListeners.js';
+import {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
+import {ROW_CHECK_MS, ROW_REMOVAL_MS} from './constants.js';
+import {openListener} from './process/httpListeners.js';
 import type {SidecarParts} from './wiring.js';
 
 /** Interval at which a starting process looks whether it can take calls, ms. */
@@ -19,7 +14,6 @@
 /** A sidecar that runs. */
 export class Sidecar {
   private readonly servers: Server[] = [];
-  private outbound: Server | undefined;
   private keeper: NodeJS.Timeout | undefined;
   private stopping: Promise<void> | undefined;
 
@@ -32,10 +26,7 @@
     await parts.peerServer.listen(settings.ip, settings.peerPort);
     for (const follower of parts.followers) void follower.run();
     void parts.fleet.announce();
-    this.outbound = await openListener(settings.outbound, (request, response) =>
-      parts.origin.handle(request, response),
-    );
-    this.servers.push(this.outbound);
+    await parts.clients.listen(settings.outbound);
     parts.lifecycle.handleConfiguration = () => this.updateBounds();
     this.servers.push(
       await openListener(settings.ready, (_request, response) =>
@@ -78,11 +69,11 @@
   /** Follows the limits of the configuration in force. */
   private updateBounds(): void {
     const limits = this.parts.configuration.read()?.table.limits;
-    if (limits && this.outbound) applyBounds(this.outbound, limits);
+    if (limits) this.parts.clients.applyBounds(limits);
   }
 
   isReady(): boolean {
-    return !this.parts.lifecycle.isStopping && this.parts.checkStarted();
+    return this.parts.lifecycle.stop === undefined && this.parts.checkStarted();
   }
 
   /**
@@ -96,22 +87,20 @@
 
   private async runStop(signal: string): Promise<void> {
     const {parts} = this;
-    parts.lifecycle.isStopping = true;
-    parts.record(EventCode.NODE_LEAVING, {cause: signal});
     const startedMs = parts.clock.readMs();
-    const endMs = startedMs + parts.settings.graceMs - STOP_MARGIN_MS;
+    const schedule = new StopSchedule(startedMs, parts.settings.graceMs);
+    parts.lifecycle.stop = schedule;
+    parts.record(EventCode.NODE_LEAVING, {cause: signal});
     parts.peerServer.announceReport();
-    while (this.needsLinger(startedMs, endMs)) await wait(STOP_POLL_MS);
-    // A connection with a request on it stays open until it is answered.
-    for (const server of this.servers) server.close();
-    while (this.hasWork() && parts.clock.readMs() < endMs) {
-      await wait(STOP_POLL_MS);
-      for (const server of this.servers) server.closeIdleConnections();
-    }
+    await this.finishRequests(schedule);
+    await this.endConnections(schedule);
     clearInterval(this.keeper);
     parts.fleet.stop();
     for (const follower of parts.followers) follower.stop();
-    for (const server of this.servers) server.closeAllConnections();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
     parts.peers.stop();
     parts.peerServer.close();
     parts.upstream.stop();
@@ -121,20 +110,32 @@
     parts.log.flush();
   }
 
-  /**
-   * Requests that still run on the upstream make calls, so the listener stays
-   * for them, but leaves time for the requests that it has taken.
-   */
-  private needsLinger(startedMs: number, endMs: number): boolean {
-    const nowMs = this.parts.clock.readMs();
-    if (nowMs < startedMs + STOP_LINGER_MS) return true;
-    const hasCalls = this.parts.upstream.countCalls() > 0;
-    return hasCalls && nowMs < endMs - STOP_ANSWER_MS;
+  /** Takes requests as long as the schedule says, and waits for their ends. */
+  private async finishRequests(schedule: StopSchedule): Promise<void> {
+    const {clients, clock, upstream} = this.parts;
+    for (
+      let nowMs = clock.readMs();
+      nowMs < schedule.answerMs;
+      nowMs = clock.readMs()
+    ) {
+      const hasCalls = upstream.countCalls() > 0;
+      if (!schedule.isListening(nowMs, hasCalls)) {
+        clients.stopAccepting();
+        clients.endIdle();
+        if (!hasCalls && clients.countOpen() === 0) return;
+      }
+      await wait(STOP_POLL_MS);
+    }
   }
 
-  private hasWork(): boolean {
-    const {origin, upstream} = this.parts;
-    return origin.countRunning() > 0 || upstream.countCalls() > 0;
+  /** Answers what still runs, and waits until clients have closed. */
+  private async endConnections(schedule: StopSchedule): Promise<void> {
+    const {clients, clock} = this.parts;
+    clients.stopAccepting();
+    while (clients.countConnections() > 0 && clock.readMs() < schedule.exitMs) {
+      clients.endIdle();
+      await wait(STOP_POLL_MS);
+    }
   }
 
   private answerReady(response: ServerResponse): void {
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -46,6 +46,7 @@
   CANCELLED = 'cancelled',
   LINK_LOST = 'link-lost',
   NO_MEMBER = 'no-member',
+  NODE_STOPPING = 'node-stopping',
 }
 
 /** How a call at a gate ended. */
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -14,11 +14,13 @@
 import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {createRetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {isStarted} from 'sycamoreyoke/process/startPhase';
+import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
 import {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Random} from 'sycamoreyoke/random';
 import {createRandom} from 'sycamoreyoke/random';
 import {CallParents} from 'sycamoreyoke/process/callParents';
+import {ClientListener} from './connection/clientListener.js';
 import {PeerServer} from './connection/peerServer.js';
 import {UpstreamPool} from './connection/upstreamPool.js';
 import {GATE_QUEUE_LIMIT, NODES_PAUSE_MS, UNLISTED_NODES} from './constants.js';
@@ -61,6 +63,7 @@
   readonly metrics: Metrics;
   readonly upstream: UpstreamTask;
   readonly origin: OriginHandler;
+  readonly clients: ClientListener;
   readonly peers: PeerTask;
   readonly peerServer: PeerServer;
   readonly fleet: FleetTask;
@@ -73,7 +76,8 @@
 
 /** State of the process that its listeners consult. */
 export interface SidecarLifecycle {
-  isStopping: boolean;
+  /** Present once the process stops. */
+  stop: StopSchedule | undefined;
   /** Called when another version is in force. */
   handleConfiguration: () => void;
 }
@@ -125,7 +129,7 @@
   const log = container.get<DecisionLog>(TOKENS.log);
   const {record} = log;
   const lifecycle: SidecarLifecycle = {
-    isStopping: false,
+    stop: undefined,
     handleConfiguration: () => undefined,
   };
   const report: InvariantReporter = (invariant, detail) => {
@@ -180,7 +184,7 @@
     return {
       ...load,
       isAvailable: load.isAvailable && hasStarted,
-      isDraining: load.isDraining || lifecycle.isStopping,
+      isDraining: load.isDraining || lifecycle.stop !== undefined,
     };
   };
   const describeReport = (): NodeReport => ({
@@ -267,8 +271,11 @@
     readTable: () => configuration.read()?.table,
     readBudget,
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
-    isStopping: () => lifecycle.isStopping,
   });
+  const clients = new ClientListener(
+    {record, metrics, isStopping: () => lifecycle.stop !== undefined},
+    (exchange) => origin.handle(exchange),
+  );
   metrics.watch('gate_running', () => upstream.describeLoad().running);
   metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
   metrics.watch('gate_limit', () => upstream.describeLoad().limit);
@@ -283,6 +290,7 @@
     metrics,
     upstream,
     origin,
+    clients,
     peers,
     peerServer,
     fleet,
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/stopSchedule.test.ts
@@ -0,0 +1,35 @@
+import {expect} from 'chai';
+import {StopSchedule} from './stopSchedule.js';
+
+const GRACE_MS = 6_000;
+const schedule = new StopSchedule(1_000, GRACE_MS);
+
+// Guards against requests that are taken but cannot be answered in the grace
+// time, and against a refusal while clients do not know of the stop.
+it('stop takes requests for less than half of the grace time', () => {
+  expect(schedule.isTaking(1_000 + 2_800)).to.equal(true);
+  expect(schedule.isTaking(1_000 + 3_000)).to.equal(false);
+});
+
+// Guards against connections that are refused while a running request calls.
+it('stop listens on while requests run, and leaves time to answer', () => {
+  const times = [2_400, 2_600, 3_900, 4_100].map((ms) => 1_000 + ms);
+  const idle = times.map((ms) => schedule.isListening(ms, false));
+  const busy = times.map((ms) => schedule.isListening(ms, true));
+  expect(idle).to.deep.equal([true, false, false, false]);
+  expect(busy).to.deep.equal([true, true, true, false]);
+});
+
+// Guards against an answer in place of an upstream that would still finish, and
+// against a process that is killed before it has answered.
+it('stop answers what runs in the last sixth of the grace time', () => {
+  const lastSixthMs = 1_000 + (5 / 6) * GRACE_MS;
+  expect(schedule.answerMs).to.be.within(lastSixthMs, schedule.exitMs - 1);
+  expect(schedule.exitMs).to.be.lessThan(1_000 + GRACE_MS);
+});
+
+// Guards against a call that outlasts the answer of its request.
+it('stop bounds the deadline of calls', () => {
+  expect(schedule.clampDeadline(90_000)).to.equal(schedule.answerMs);
+  expect(schedule.clampDeadline(2_000)).to.equal(2_000);
+});
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/stopSchedule.ts
@@ -0,0 +1,50 @@
+/** Decides what a node that stops still takes, and when it answers the rest. */
+
+/**
+ * Part of the grace time in which requests are taken as before: two missed
+ * readiness checks, one a second, pass before clients go elsewhere.
+ */
+const LINGER_SHARE = 5 / 12;
+/** Part in which requests are taken if they arrive on open connections. */
+const TAKE_SHARE = 0.48;
+/** Part after which requests that still run are answered as unknown. */
+const ANSWER_SHARE = 11 / 12;
+/** Part after which the process exits; the rest covers delayed timers. */
+const EXIT_SHARE = 23 / 24;
+/** Part kept for the answers of requests when calls of the upstream end. */
+const REPLY_SHARE = 1 / 4;
+
+/** Points in time of a stop, on the clock of the node, ms. */
+export class StopSchedule {
+  /** The listener stays open until then for clients that do not know yet. */
+  readonly lingerUntilMs: number;
+  /** The listener stays open until then for calls of running requests. */
+  readonly callsUntilMs: number;
+  readonly answerMs: number;
+  readonly exitMs: number;
+  private readonly takeUntilMs: number;
+
+  constructor(startedMs: number, graceMs: number) {
+    this.lingerUntilMs = startedMs + LINGER_SHARE * graceMs;
+    this.takeUntilMs = startedMs + TAKE_SHARE * graceMs;
+    this.answerMs = startedMs + ANSWER_SHARE * graceMs;
+    this.callsUntilMs = this.answerMs - REPLY_SHARE * graceMs;
+    this.exitMs = startedMs + EXIT_SHARE * graceMs;
+  }
+
+  /** Whether a request that is taken now has time to be answered. */
+  isTaking(nowMs: number): boolean {
+    return nowMs < this.takeUntilMs;
+  }
+
+  /** Whether the listener accepts connections. */
+  isListening(nowMs: number, hasRunningCalls: boolean): boolean {
+    if (nowMs < this.lingerUntilMs) return true;
+    return hasRunningCalls && nowMs < this.callsUntilMs;
+  }
+
+  /** Deadline of a call for a request that was taken before. */
+  clampDeadline(deadlineMs: number): number {
+    return Math.min(deadlineMs, this.answerMs);
+  }
+}
