Take nothing in a stop that may outlast it

Callers got 502, or a connection that ended without a word, for requests at which an upstream was at work, around planned stops alone.

Cause: a stopping node took whatever arrived until its very end. What still ran at the end was cut silently.

Change: StopSchedule holds the points in time of a stop, as parts of the grace time. A client's request that comes later is answered 503 with Retry-After; calls of running requests go on with a deadline before the end.

--- a/packages/sidecar/src/connection/clientListener.ts
+++ b/packages/sidecar/src/connection/clientListener.ts
@@ -80,6 +80,11 @@
     for (const connection of this.connections.values()) connection.endIfIdle();
   }
 
+  /** Closes what is still open. */
+  closeAll(): void {
+    for (const socket of this.connections.keys()) socket.destroy();
+  }
+
   private add(socket: Socket): void {
     this.connections.set(socket, new ClientConnection(socket, this.parts));
     socket.once('close', () => this.connections.delete(socket));
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -24,6 +24,7 @@
   DEFAULT_SLOTS,
   DRAIN_START_SHARE,
   GATE_TICK_MS,
+  STOP_RETRY_MS,
   UPSTREAM_DOWN_MS,
 } from '../constants.js';
 import {UpstreamRun} from '../request/upstreamRun.js';
@@ -49,6 +50,8 @@
   readonly parameters: GateParameters;
   readonly report: InvariantReporter;
   readonly record: EventRecorder;
+  /** Whether a call that arrives now ends before the node does. */
+  readonly hasTimeFor: (deadlineMs: number) => boolean;
   /** Called when the upstream becomes available, leaves or is lost. */
   readonly handleChange: () => void;
 }
@@ -152,15 +155,18 @@
 
   /** Offers a call to the gate; the handler gets its result once. */
   offer(call: OutgoingCall, handle: ResultHandler): PendingCall {
-    const obstacle = this.findObstacle(call);
+    const nowMs = this.parts.clock.readMs();
+    const deadlineMs = nowMs + call.leftMs;
+    const obstacle = this.parts.hasTimeFor(deadlineMs)
+      ? this.findObstacle(call)
+      : GateReason.NODE_STOPPING;
     if (obstacle) {
       this.recordRefusal(call, obstacle);
-      handle(createFailure(SendEnd.REFUSED_BY_GATE, obstacle));
+      const retryMs = obstacle === GateReason.NODE_STOPPING ? STOP_RETRY_MS : 0;
+      handle(createFailure(SendEnd.REFUSED_BY_GATE, obstacle, retryMs));
       return {cancel: () => undefined};
     }
     const ticket = String(this.nextTicket++);
-    const nowMs = this.parts.clock.readMs();
-    const deadlineMs = nowMs + call.leftMs;
     this.calls.set(ticket, {ticket, call, deadlineMs, handle, run: undefined});
     const arrival = {
       ticket,
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -9,11 +9,13 @@
 import {Importance} from 'sycamoreyoke/types';
 import type {Route, RouteTable} from 'sycamoreyoke/version/routeTable';
 import {findRoute} from 'sycamoreyoke/version/routeTable';
+import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {Random} from 'sycamoreyoke/random';
-import {DEFAULT_TIMEOUT_MS} from '../constants.js';
+import {DEFAULT_TIMEOUT_MS, STOP_RETRY_MS} from '../constants.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {ParentCall} from '../process/upstreamTask.js';
 import type {CallResult, HeaderList, WireProtocol} from '../types.js';
+import {GateReason} from '../types.js';
 import type {Answer, RoutedRequest} from './originCall.js';
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
@@ -35,6 +37,8 @@
   readonly readBudget: (service: string) => RetryAllowance;
   /** The running request for which a call is made, if any. */
   readonly startChildCall: (deadlineMs: number) => ParentCall | undefined;
+  /** Present once the node stops. */
+  readonly readStop: () => StopSchedule | undefined;
 }
 
 enum Status {
@@ -83,6 +87,15 @@
     });
   }
 
+  /** Answers what is still open with what is known of it. */
+  answerOpen(): void {
+    for (const [exchange, call] of this.open) {
+      if (exchange.state !== ExchangeState.RUNNING) continue;
+      if (call) call.end(GateReason.NODE_STOPPING);
+      else this.refuseStopping(exchange);
+    }
+  }
+
   private route(
     exchange: ClientExchange,
     body: Uint8Array,
@@ -116,10 +129,17 @@
       this.refuse(exchange, Status.NOT_FOUND, 'no route matches');
       return;
     }
+    const stop = this.parts.readStop();
     const leftMs = head.leftMs ?? DEFAULT_TIMEOUT_MS;
     const parent = this.parts.startChildCall(arrivedMs + leftMs);
     if (parent) exchange.handleClose(() => parent.finish());
-    const deadlineMs = arrivedMs + Math.min(leftMs, route.timeoutMs);
+    else if (stop && !stop.isTaking(this.parts.clock.readMs())) {
+      this.refuseStopping(exchange);
+      return;
+    }
+    const routeDeadlineMs = arrivedMs + Math.min(leftMs, route.timeoutMs);
+    const deadlineMs =
+      parent && stop ? stop.clampDeadline(routeDeadlineMs) : routeDeadlineMs;
     const importance = chooseImportance(route, parent);
     this.start(exchange, {
       requestId: head.requestId,
@@ -215,6 +235,11 @@
     exchange.answer({status, headers, body, endsConnection});
   }
 
+  private refuseStopping(exchange: ClientExchange): void {
+    const reason = 'the node is stopping';
+    this.refuseEarly(exchange, Status.UNAVAILABLE, reason, STOP_RETRY_MS);
+  }
+
   /** Answers a request that was not offered to any node. */
   private refuseEarly(
     exchange: ClientExchange,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -94,6 +94,9 @@
     parts.peerServer.announceReport();
     await this.finishRequests(schedule);
     await this.endConnections(schedule);
+    parts.clients.closeAll();
+    // What the closed sockets report belongs into the log.
+    await wait(0);
     clearInterval(this.keeper);
     parts.fleet.stop();
     for (const follower of parts.followers) follower.stop();
@@ -130,8 +133,9 @@
 
   /** Answers what still runs, and waits until clients have closed. */
   private async endConnections(schedule: StopSchedule): Promise<void> {
-    const {clients, clock} = this.parts;
+    const {clients, clock, origin} = this.parts;
     clients.stopAccepting();
+    origin.answerOpen();
     while (clients.countConnections() > 0 && clock.readMs() < schedule.exitMs) {
       clients.endIdle();
       await wait(STOP_POLL_MS);
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -157,6 +157,8 @@
     presence: container.get<UpstreamPresence>(TOKENS.presence),
     callParents: new CallParents(),
     pool: container.get<UpstreamPool>(TOKENS.pool),
+    hasTimeFor: (deadlineMs) =>
+      lifecycle.stop?.hasTimeFor(clock.readMs(), deadlineMs) ?? true,
     parameters: {
       ...GOODPUT_PARAMETERS,
       queueLimit: GATE_QUEUE_LIMIT,
@@ -271,6 +273,7 @@
     readTable: () => configuration.read()?.table,
     readBudget,
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
+    readStop: () => lifecycle.stop,
   });
   const clients = new ClientListener(
     {record, metrics, isStopping: () => lifecycle.stop !== undefined},
--- a/packages/sycamoreyoke/src/process/stopSchedule.ts
+++ b/packages/sycamoreyoke/src/process/stopSchedule.ts
@@ -14,6 +14,9 @@
 /** Part kept for the answers of requests when calls of the upstream end. */
 const REPLY_SHARE = 1 / 4;
 
+/** The result of a call has to reach the request before that is answered. */
+const CALL_MARGIN_MS = 100;
+
 /** Points in time of a stop, on the clock of the node, ms. */
 export class StopSchedule {
   /** The listener stays open until then for clients that do not know yet. */
@@ -32,11 +35,19 @@
     this.exitMs = startedMs + EXIT_SHARE * graceMs;
   }
 
-  /** Whether a request that is taken now has time to be answered. */
+  /** Whether a request of a client is taken now. */
   isTaking(nowMs: number): boolean {
     return nowMs < this.takeUntilMs;
   }
 
+  /**
+   * Whether a call of another node is run: one that may outlast the stop would
+   * be broken off, and its origin may still find another node.
+   */
+  hasTimeFor(nowMs: number, deadlineMs: number): boolean {
+    return this.isTaking(nowMs) && deadlineMs <= this.answerMs;
+  }
+
   /** Whether the listener accepts connections. */
   isListening(nowMs: number, hasRunningCalls: boolean): boolean {
     if (nowMs < this.lingerUntilMs) return true;
@@ -45,6 +56,6 @@
 
   /** Deadline of a call for a request that was taken before. */
   clampDeadline(deadlineMs: number): number {
-    return Math.min(deadlineMs, this.answerMs);
+    return Math.min(deadlineMs, this.answerMs - CALL_MARGIN_MS);
   }
 }
