Close links after their last result

Cause: at the end of a stop the accepted sockets were destroyed at once. Results in their buffers were lost, unread frames turned the close into a reset, and a call that crossed the close counted at its origin as one that may have run, so a booking was answered 502 although no gate had read it. With all nodes of a service stopping, callers kept sending to them until the grace time was over and the last calls were cut.

Change: PeerServer.close takes a time and is awaited. When the listeners close, links refuse each further call as not run; after the result of its last call a link sends GOODBYE, ends its side, and reads and discards until the peer has closed, is silent for 1.5 s, or the time is up. Calls that outlast the time get a result of their own, LOST, before the GOODBYE. HELLO carries a revision, so that nodes of the earlier version, which end a link on an unknown frame, get no GOODBYE; unknown kinds are passed over from now on. A stopped PeerTask opens no links.

It works because the sender now learns which calls no gate has read.

--- /dev/null
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -0,0 +1,186 @@
+/** A link that another node has dialled, and the calls that run for it. */
+import type {Socket} from 'node:net';
+import {SendEnd} from 'sycamoreyoke/request/resend';
+import {ACCEPTED_SILENCE_MS, CLOSING_SILENCE_MS} from '../constants.js';
+import type {
+  CallResult,
+  NodeRecord,
+  NodeReport,
+  OutgoingCall,
+  PendingCall,
+  ResultHandler,
+} from '../types.js';
+import {GateReason} from '../types.js';
+import type {Frame} from './peerFrames.js';
+import {
+  FRAME_REVISION,
+  FrameKind,
+  FrameReader,
+  GOODBYE_REVISION,
+  sendFrame,
+} from './peerFrames.js';
+import {createClosingRefusal, createFailure} from './peerLink.js';
+
+/** What the link needs of the node. */
+export interface AcceptedLinkParts {
+  readonly describeSelf: () => {node: NodeRecord; report: NodeReport};
+  readonly offer: (call: OutgoingCall, handle: ResultHandler) => PendingCall;
+  readonly handleHello: (node: NodeRecord) => void;
+  readonly handlePeerVersion: (version: number, send: FrameSender) => void;
+  readonly handleConfiguration: (content: Uint8Array) => void;
+  readonly readConfiguration: () => Uint8Array | undefined;
+  readonly listNodes: () => readonly NodeRecord[];
+  readonly handleFault: (message: string) => void;
+}
+
+/** Sends a frame over a link that is open. */
+export type FrameSender = (frame: Frame) => void;
+
+enum LinkPhase {
+  OPEN = 'open',
+  /** Calls that run are finished, others are refused. */
+  CLOSING = 'closing',
+  /** All frames are written; what still arrives is discarded. */
+  ENDED = 'ended',
+}
+
+/** Owns an accepted socket. */
+export class AcceptedLink {
+  private phase = LinkPhase.OPEN;
+  private peerRevision = 0;
+  private readonly running = new Map<number, PendingCall>();
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly parts: AcceptedLinkParts,
+    handleClose: () => void,
+  ) {
+    socket.setTimeout(ACCEPTED_SILENCE_MS, () => socket.destroy());
+    const reader = new FrameReader((frame) => this.receive(frame));
+    socket.on('data', (chunk) => {
+      // Unread bytes would make the close a reset, which discards results.
+      if (this.phase === LinkPhase.ENDED) return;
+      try {
+        reader.add(chunk);
+      } catch (error) {
+        this.parts.handleFault(`bad frame: ${(error as Error).message}`);
+        socket.destroy();
+      }
+    });
+    socket.on('error', (error) => {
+      if (this.phase === LinkPhase.ENDED) return;
+      this.parts.handleFault(`link of a peer failed: ${error.message}`);
+    });
+    socket.on('close', () => {
+      handleClose();
+      for (const call of this.running.values()) call.cancel();
+    });
+  }
+
+  send(frame: Frame): void {
+    sendFrame(this.socket, frame);
+  }
+
+  /** Refuses new calls and ends the link after the last result. */
+  close(): void {
+    if (this.phase !== LinkPhase.OPEN) return;
+    this.phase = LinkPhase.CLOSING;
+    if (this.running.size === 0) this.end();
+  }
+
+  /** Gives up the calls that still run, which may have had effects. */
+  cancelRunning(): void {
+    for (const [id, call] of [...this.running]) {
+      call.cancel();
+      if (!this.running.delete(id)) continue;
+      this.sendResult(id, createFailure(SendEnd.LOST, GateReason.LINK_LOST));
+    }
+    if (this.phase !== LinkPhase.ENDED) this.end();
+  }
+
+  disconnect(): void {
+    this.socket.destroy();
+  }
+
+  private end(): void {
+    if (this.peerRevision >= GOODBYE_REVISION) {
+      this.send({kind: FrameKind.GOODBYE});
+    }
+    this.phase = LinkPhase.ENDED;
+    this.socket.setTimeout(CLOSING_SILENCE_MS);
+    this.socket.end();
+  }
+
+  private receive(frame: Frame): void {
+    const send: FrameSender = (answer) => this.send(answer);
+    switch (frame.kind) {
+      case FrameKind.HELLO:
+        this.peerRevision = frame.revision;
+        send({
+          kind: FrameKind.HELLO,
+          ...this.parts.describeSelf(),
+          revision: FRAME_REVISION,
+        });
+        this.parts.handleHello(frame.node);
+        this.parts.handlePeerVersion(frame.report.configurationVersion, send);
+        return;
+      case FrameKind.PING:
+        send({
+          kind: FrameKind.REPORT,
+          report: this.parts.describeSelf().report,
+        });
+        this.parts.handlePeerVersion(frame.report.configurationVersion, send);
+        return;
+      case FrameKind.CALL:
+        this.start(frame.id, frame.call);
+        return;
+      case FrameKind.CANCEL:
+        this.cancel(frame.id);
+        return;
+      case FrameKind.GET_CONFIGURATION: {
+        const content = this.parts.readConfiguration();
+        if (content) send({kind: FrameKind.CONFIGURATION, content});
+        return;
+      }
+      case FrameKind.CONFIGURATION:
+        this.parts.handleConfiguration(frame.content);
+        return;
+      case FrameKind.GET_NODES:
+        send({kind: FrameKind.NODES, nodes: this.parts.listNodes()});
+        return;
+      default:
+        this.parts.handleFault(`frame of kind ${frame.kind} is not expected`);
+    }
+  }
+
+  private start(id: number, call: OutgoingCall): void {
+    if (this.phase !== LinkPhase.OPEN) {
+      this.sendResult(id, createClosingRefusal());
+      return;
+    }
+    let isSettled = false;
+    const pending = this.parts.offer(call, (result) => {
+      isSettled = true;
+      this.running.delete(id);
+      this.sendResult(id, result);
+      this.finishClose();
+    });
+    if (!isSettled) this.running.set(id, pending);
+  }
+
+  private cancel(id: number): void {
+    this.running.get(id)?.cancel();
+    this.running.delete(id);
+    this.finishClose();
+  }
+
+  private finishClose(): void {
+    if (this.phase !== LinkPhase.CLOSING || this.running.size > 0) return;
+    this.end();
+  }
+
+  private sendResult(id: number, result: CallResult): void {
+    const {report} = this.parts.describeSelf();
+    this.send({kind: FrameKind.RESULT, id, result, report});
+  }
+}
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -25,14 +25,25 @@
   CONFIGURATION = 8,
   GET_NODES = 9,
   NODES = 10,
+  /** Calls without a result by now have not run and will not. */
+  GOODBYE = 11,
 }
 
+/**
+ * Revision of the frames that a node reads, told in its HELLO. Nodes that tell
+ * none (0) take a kind that they do not know for a fault and end the link.
+ */
+export const FRAME_REVISION = 1;
+/** First revision with GOODBYE. */
+export const GOODBYE_REVISION = 1;
+
 /** A message between two nodes. */
 export type Frame =
   | {
       readonly kind: FrameKind.HELLO;
       readonly node: NodeRecord;
       readonly report: NodeReport;
+      readonly revision: number;
     }
   | {
       readonly kind: FrameKind.CALL;
@@ -51,7 +62,8 @@
   | {readonly kind: FrameKind.GET_CONFIGURATION}
   | {readonly kind: FrameKind.CONFIGURATION; readonly content: Uint8Array}
   | {readonly kind: FrameKind.GET_NODES}
-  | {readonly kind: FrameKind.NODES; readonly nodes: readonly NodeRecord[]};
+  | {readonly kind: FrameKind.NODES; readonly nodes: readonly NodeRecord[]}
+  | {readonly kind: FrameKind.GOODBYE};
 
 const LENGTH_BYTES = 4;
 const packr = new Packr({useRecords: false});
@@ -86,7 +98,8 @@
       if (this.isInContent) {
         this.isInContent = false;
         this.wanted = LENGTH_BYTES;
-        this.handle(decodeFrame(part));
+        const frame = decodeFrame(part);
+        if (frame) this.handle(frame);
       } else {
         this.wanted = part.readUInt32BE(0);
         this.isInContent = true;
@@ -157,7 +170,12 @@
   const {kind} = frame;
   switch (kind) {
     case FrameKind.HELLO:
-      return [kind, buildNode(frame.node), buildReport(frame.report)];
+      return [
+        kind,
+        buildNode(frame.node),
+        buildReport(frame.report),
+        frame.revision,
+      ];
     case FrameKind.CALL:
       return [kind, frame.id, buildCall(frame.call)];
     case FrameKind.CANCEL:
@@ -178,11 +196,13 @@
       return [kind, frame.nodes.map(buildNode)];
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
+    case FrameKind.GOODBYE:
       return [kind];
   }
 }
 
-function decodeFrame(content: Buffer): Frame {
+/** Gives nothing for a kind that only nodes of a later version know. */
+function decodeFrame(content: Buffer): Frame | undefined {
   const fields: unknown = packr.unpack(content);
   if (!Array.isArray(fields)) throw new FrameError('frame is not a list');
   const [kind, first, second, third] = fields as [FrameKind, ...unknown[]];
@@ -192,6 +212,7 @@
         kind,
         node: readNode(first as NodeFields),
         report: readReport(second as ReportFields),
+        revision: Number(third ?? 0),
       };
     case FrameKind.CALL:
       return {
@@ -217,9 +238,10 @@
       return {kind, nodes: (first as readonly NodeFields[]).map(readNode)};
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
+    case FrameKind.GOODBYE:
       return {kind};
     default:
-      throw new FrameError(`frame of kind ${String(kind)} is not known`);
+      return undefined;
   }
 }
 
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -5,8 +5,10 @@
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   AVOID_MS,
+  CLOSING_SILENCE_MS,
   CONNECT_TIMEOUT_MS,
   IDLE_PING_MS,
+  NO_MEMBER_RETRY_MS,
   PING_MS,
   PING_TIMEOUT_MS,
   REDIAL_MAX_MS,
@@ -22,7 +24,12 @@
 } from '../types.js';
 import {GateReason} from '../types.js';
 import type {Frame} from './peerFrames.js';
-import {FrameKind, FrameReader, sendFrame} from './peerFrames.js';
+import {
+  FRAME_REVISION,
+  FrameKind,
+  FrameReader,
+  sendFrame,
+} from './peerFrames.js';
 
 /** What a link tells the task that owns it. */
 export interface LinkEvents {
@@ -33,6 +40,8 @@
   handleFrame(link: PeerLink, frame: Frame): void;
   handleUp(link: PeerLink): void;
   handleDown(link: PeerLink, message: string): void;
+  /** The node closes the link; this many calls on it have not run. */
+  handleClosing(link: PeerLink, calls: number): void;
 }
 
 const EMPTY_BODY = new Uint8Array(0);
@@ -46,6 +55,15 @@
   return {end, reason, retryAfterMs, status: 0, headers: [], body: EMPTY_BODY};
 }
 
+/** The result of a call that a node which closes its links has not run. */
+export function createClosingRefusal(): CallResult {
+  return createFailure(
+    SendEnd.REFUSED_BY_GATE,
+    GateReason.LINK_CLOSING,
+    NO_MEMBER_RETRY_MS,
+  );
+}
+
 /** Owns one socket to a node, and the calls that wait for its results. */
 export class PeerLink {
   /** The node's latest report, absent until it has answered. */
@@ -122,9 +140,15 @@
     this.socket = socket;
     this.heardMs = this.clock.readMs();
     socket.setNoDelay(true);
-    const reader = new FrameReader((frame) => this.receive(frame));
+    const reader = new FrameReader((frame) => {
+      if (this.socket === socket) this.receive(socket, frame);
+    });
     socket.on('connect', () => {
-      sendFrame(socket, {kind: FrameKind.HELLO, ...this.events.describeSelf()});
+      sendFrame(socket, {
+        kind: FrameKind.HELLO,
+        ...this.events.describeSelf(),
+        revision: FRAME_REVISION,
+      });
     });
     socket.on('data', (chunk) => {
       try {
@@ -163,7 +187,7 @@
     sendFrame(this.socket, {kind: FrameKind.PING, report});
   }
 
-  private receive(frame: Frame): void {
+  private receive(socket: Socket, frame: Frame): void {
     this.heardMs = this.clock.readMs();
     this.askedMs = undefined;
     switch (frame.kind) {
@@ -185,6 +209,9 @@
       case FrameKind.REPORT:
         this.updateReport(frame.report);
         return;
+      case FrameKind.GOODBYE:
+        this.handleGoodbye(socket);
+        return;
       default:
         this.events.handleFrame(this, frame);
     }
@@ -205,21 +232,39 @@
   /** Calls that were sent may have run: nobody can tell. */
   private handleEnd(socket: Socket, message: string): void {
     if (this.socket !== socket) return;
-    this.socket = undefined;
     const wasUp = this.isUp;
-    if (wasUp) this.lostMs = this.clock.readMs();
+    const handlers = this.release();
+    if (wasUp) this.events.handleDown(this, message);
+    for (const handle of handlers) {
+      handle(createFailure(SendEnd.LOST, GateReason.LINK_LOST));
+    }
+  }
+
+  /** The node has sent all results that it will ever send. */
+  private handleGoodbye(socket: Socket): void {
+    socket.setTimeout(CLOSING_SILENCE_MS, () => socket.destroy());
+    socket.end();
+    const handlers = this.release();
+    this.events.handleClosing(this, handlers.length);
+    for (const handle of handlers) {
+      handle(createClosingRefusal());
+    }
+  }
+
+  /** Lets go of the socket and gives the calls that wait for a result. */
+  private release(): readonly ResultHandler[] {
+    const nowMs = this.clock.readMs();
+    this.socket = undefined;
+    if (this.isUp) this.lostMs = nowMs;
     this.isUp = false;
-    this.avoidedUntilMs = this.clock.readMs() + AVOID_MS;
+    this.avoidedUntilMs = nowMs + AVOID_MS;
+    this.askedMs = undefined;
     const handlers = [...this.waiting.values()];
     this.waiting.clear();
-    this.askedMs = undefined;
     if (!this.isRetired && !this.isStopped) {
       this.timer = setTimeout(() => this.dial(), this.redialMs);
     }
     this.redialMs = Math.min(REDIAL_MAX_MS, 2 * this.redialMs);
-    if (wasUp) this.events.handleDown(this, message);
-    for (const handle of handlers) {
-      handle(createFailure(SendEnd.LOST, GateReason.LINK_LOST));
-    }
+    return handlers;
   }
 }
--- a/packages/sidecar/src/connection/peerServer.ts
+++ b/packages/sidecar/src/connection/peerServer.ts
@@ -1,39 +1,20 @@
-/** Accepts links of other nodes and runs the calls that arrive on them. */
+/** Accepts links of other nodes and closes them at the end of the process. */
 import type {Server, Socket} from 'node:net';
 import {createServer} from 'node:net';
-import {ACCEPTED_SILENCE_MS} from '../constants.js';
-import type {
-  CallResult,
-  NodeRecord,
-  NodeReport,
-  OutgoingCall,
-  PendingCall,
-  ResultHandler,
-} from '../types.js';
-import type {Frame} from './peerFrames.js';
-import {FrameKind, FrameReader, sendFrame} from './peerFrames.js';
+import {CLOSING_FLUSH_MS} from '../constants.js';
+import type {AcceptedLinkParts} from './acceptedLink.js';
+import {AcceptedLink} from './acceptedLink.js';
+import {FrameKind} from './peerFrames.js';
 
-/** What the server needs of the node. */
-export interface PeerServerParts {
-  readonly describeSelf: () => {node: NodeRecord; report: NodeReport};
-  readonly offer: (call: OutgoingCall, handle: ResultHandler) => PendingCall;
-  readonly handleHello: (node: NodeRecord) => void;
-  readonly handlePeerVersion: (version: number, send: FrameSender) => void;
-  readonly handleConfiguration: (content: Uint8Array) => void;
-  readonly readConfiguration: () => Uint8Array | undefined;
-  readonly listNodes: () => readonly NodeRecord[];
-  readonly handleFault: (message: string) => void;
-}
-
-/** Sends a frame over a link that is open. */
-export type FrameSender = (frame: Frame) => void;
-
-/** Owns the accepted sockets. */
+/** Owns the accepted links. */
 export class PeerServer {
   private readonly server: Server;
-  private readonly sockets = new Set<Socket>();
+  private readonly links = new Set<AcceptedLink>();
+  private isClosing = false;
+  /** Set while the close waits for the last link. */
+  private handleLastClosed: (() => void) | undefined;
 
-  constructor(private readonly parts: PeerServerParts) {
+  constructor(private readonly parts: AcceptedLinkParts) {
     this.server = createServer({noDelay: true}, (socket) =>
       this.accept(socket),
     );
@@ -52,96 +33,49 @@
   /** Tells all callers at once what has changed. */
   announceReport(): void {
     const {report} = this.parts.describeSelf();
-    for (const socket of this.sockets) {
-      sendFrame(socket, {kind: FrameKind.REPORT, report});
-    }
+    for (const link of this.links) link.send({kind: FrameKind.REPORT, report});
   }
 
-  close(): void {
+  /**
+   * Refuses calls from now on, ends each link after the result of its last call
+   * and waits until the peers have read all of it, for the given time at most.
+   */
+  async close(withinMs: number): Promise<void> {
+    this.isClosing = true;
     this.server.close();
-    for (const socket of this.sockets) socket.destroy();
+    const flushMs = Math.max(0, withinMs - CLOSING_FLUSH_MS);
+    const flushTimer = setTimeout(() => this.cancelRunning(), flushMs);
+    const endTimer = setTimeout(() => this.disconnect(), withinMs);
+    for (const link of this.links) link.close();
+    await this.waitForLast();
+    clearTimeout(flushTimer);
+    clearTimeout(endTimer);
   }
 
   private accept(socket: Socket): void {
-    this.sockets.add(socket);
-    socket.setTimeout(ACCEPTED_SILENCE_MS, () => socket.destroy());
-    const running = new Map<number, PendingCall>();
-    const reader = new FrameReader((frame) =>
-      this.receive(socket, running, frame),
-    );
-    socket.on('data', (chunk) => {
-      try {
-        reader.add(chunk);
-      } catch (error) {
-        this.parts.handleFault(`bad frame: ${(error as Error).message}`);
-        socket.destroy();
-      }
-    });
-    socket.on('error', (error) => {
-      this.parts.handleFault(`link of a peer failed: ${error.message}`);
+    if (this.isClosing) {
+      socket.destroy();
+      return;
+    }
+    const link: AcceptedLink = new AcceptedLink(socket, this.parts, () => {
+      this.links.delete(link);
+      if (this.links.size === 0) this.handleLastClosed?.();
     });
-    socket.on('close', () => {
-      this.sockets.delete(socket);
-      for (const call of running.values()) call.cancel();
+    this.links.add(link);
+  }
+
+  private waitForLast(): Promise<void> {
+    if (this.links.size === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.handleLastClosed = resolve;
     });
   }
 
-  private receive(
-    socket: Socket,
-    running: Map<number, PendingCall>,
-    frame: Frame,
-  ): void {
-    const send: FrameSender = (answer) => sendFrame(socket, answer);
-    switch (frame.kind) {
-      case FrameKind.HELLO:
-        send({kind: FrameKind.HELLO, ...this.parts.describeSelf()});
-        this.parts.handleHello(frame.node);
-        this.parts.handlePeerVersion(frame.report.configurationVersion, send);
-        return;
-      case FrameKind.PING:
-        send({
-          kind: FrameKind.REPORT,
-          report: this.parts.describeSelf().report,
-        });
-        this.parts.handlePeerVersion(frame.report.configurationVersion, send);
-        return;
-      case FrameKind.CALL:
-        this.start(socket, running, frame.id, frame.call);
-        return;
-      case FrameKind.CANCEL:
-        running.get(frame.id)?.cancel();
-        running.delete(frame.id);
-        return;
-      case FrameKind.GET_CONFIGURATION: {
-        const content = this.parts.readConfiguration();
-        if (content) send({kind: FrameKind.CONFIGURATION, content});
-        return;
-      }
-      case FrameKind.CONFIGURATION:
-        this.parts.handleConfiguration(frame.content);
-        return;
-      case FrameKind.GET_NODES:
-        send({kind: FrameKind.NODES, nodes: this.parts.listNodes()});
-        return;
-      default:
-        this.parts.handleFault(`frame of kind ${frame.kind} is not expected`);
-    }
+  private cancelRunning(): void {
+    for (const link of this.links) link.cancelRunning();
   }
 
-  private start(
-    socket: Socket,
-    running: Map<number, PendingCall>,
-    id: number,
-    call: OutgoingCall,
-  ): void {
-    let isSettled = false;
-    const settle = (result: CallResult) => {
-      isSettled = true;
-      running.delete(id);
-      const {report} = this.parts.describeSelf();
-      sendFrame(socket, {kind: FrameKind.RESULT, id, result, report});
-    };
-    const pending = this.parts.offer(call, settle);
-    if (!isSettled) running.set(id, pending);
+  private disconnect(): void {
+    for (const link of this.links) link.disconnect();
   }
 }
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -19,6 +19,11 @@
 export const REDIAL_MIN_MS = 100;
 /** Longest wait before a lost link is dialled again. */
 export const REDIAL_MAX_MS = 1_000;
+/** Silence after which a peer that was told of the close of a link, and keeps
+ * its side open, is gone; a lost packet is sent again within it. */
+export const CLOSING_SILENCE_MS = 1_500;
+/** Part of the time of a close that is kept for the last frames. */
+export const CLOSING_FLUSH_MS = 100;
 /** A node whose link was lost, or that refused for a fault, is avoided. */
 export const AVOID_MS = 1_000;
 /** Delay after a change of the node list; a start brings one for each node. */
--- a/packages/sidecar/src/process/decisionLog.ts
+++ b/packages/sidecar/src/process/decisionLog.ts
@@ -24,6 +24,7 @@
 const NEIGHBOUR_CODES: ReadonlySet<EventCode> = new Set([
   EventCode.LINK_UP,
   EventCode.LINK_DOWN,
+  EventCode.LINK_CLOSING,
   EventCode.MEMBER_JOINED,
 ]);
 const BUDGET_WINDOW_MS = 1_000;
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -71,6 +71,7 @@
   private localAvoidedUntilMs = 0;
   private nodes: readonly NodeRecord[] = [];
   private updateTimer: NodeJS.Timeout | undefined;
+  private isStopped = false;
 
   private readonly timer: NodeJS.Timeout;
 
@@ -81,6 +82,7 @@
   /** Follows the list of nodes; changes in quick succession are one update. */
   update(nodes: readonly NodeRecord[]): void {
     this.nodes = nodes;
+    if (this.isStopped) return;
     this.updateTimer ??= setTimeout(() => {
       this.updateTimer = undefined;
       this.applyNodes(this.nodes);
@@ -153,6 +155,7 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     clearInterval(this.timer);
     clearTimeout(this.updateTimer);
     for (const link of this.links.values()) link.stop();
@@ -261,6 +264,13 @@
         message,
       });
     },
+    handleClosing: (link, calls) => {
+      this.parts.record(EventCode.LINK_CLOSING, {
+        node: link.node.node,
+        service: link.node.service,
+        calls,
+      });
+    },
   };
 }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -104,6 +104,8 @@
     while (this.needsLinger(startedMs, endMs)) await wait(STOP_POLL_MS);
     // A connection with a request on it stays open until it is answered.
     for (const server of this.servers) server.close();
+    const leftMs = Math.max(0, endMs - parts.clock.readMs());
+    const closingLinks = parts.peerServer.close(leftMs);
     while (this.hasWork() && parts.clock.readMs() < endMs) {
       await wait(STOP_POLL_MS);
       for (const server of this.servers) server.closeIdleConnections();
@@ -113,7 +115,7 @@
     for (const follower of parts.followers) follower.stop();
     for (const server of this.servers) server.closeAllConnections();
     parts.peers.stop();
-    parts.peerServer.close();
+    await closingLinks;
     parts.upstream.stop();
     parts.configuration.stop();
     const waitedMs = Math.round(parts.clock.readMs() - startedMs);
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -45,6 +45,8 @@
   BAD_RESPONSE = 'bad-response',
   CANCELLED = 'cancelled',
   LINK_LOST = 'link-lost',
+  /** The node closes its links; the call has not run and will not. */
+  LINK_CLOSING = 'link-closing',
   NO_MEMBER = 'no-member',
 }
 
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -193,6 +193,12 @@
     'The row of this node could not be written to the store.',
     'message',
   ),
+  [EventCode.LINK_CLOSING]: describe(
+    'A node closed its link; calls without a result by then have not run.',
+    'node',
+    'service',
+    'calls',
+  ),
   [EventCode.CONFIGURATION_ADOPTED]: describe(
     'A newer configuration is in force.',
     'version',
