Watch retired links until their last call has ended

Cause: a link to a node that left the list, or came back with another incarnation, was taken out of the map at once. tick() no longer pinged it, so a call on a link that went silent waited for its deadline, the called node closed a link without pings after 8 s although a call ran, and a link whose last call was cancelled stayed open.

Change: the task keeps retired links until they have ended, ticks them, and stops them at its own stop; a cancelled last call closes a retired link.

--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -112,6 +112,7 @@
       cancel: () => {
         if (!this.waiting.delete(id)) return;
         sendFrame(socket, {kind: FrameKind.CANCEL, id});
+        this.stopIfDone();
       },
     };
   }
@@ -124,7 +125,12 @@
   /** Sends nothing more, and closes once all results have arrived. */
   retire(): void {
     this.isRetired = true;
-    if (this.waiting.size === 0) this.stop();
+    this.stopIfDone();
+  }
+
+  /** Whether nothing will be sent or received any more. */
+  isEnded(): boolean {
+    return !this.socket && (this.isRetired || this.isStopped);
   }
 
   /** Closes the link for good. */
@@ -134,6 +140,10 @@
     this.disconnect('link is not needed any more');
   }
 
+  private stopIfDone(): void {
+    if (this.isRetired && this.waiting.size === 0) this.stop();
+  }
+
   private dial(): void {
     const {host, port} = this.node.address;
     const socket = connect({host, port});
@@ -203,7 +213,7 @@
         const handle = this.waiting.get(frame.id);
         this.waiting.delete(frame.id);
         handle?.(frame.result);
-        if (this.isRetired) this.retire();
+        this.stopIfDone();
         return;
       }
       case FrameKind.REPORT:
--- /dev/null
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -0,0 +1,120 @@
+import type {Socket} from 'node:net';
+import {systemClock} from '@sycamoreyoke/node/process/systemClock';
+import {expect} from 'chai';
+import {SendEnd} from 'sycamoreyoke/request/resend';
+import {
+  HOST,
+  REPORT,
+  createCall,
+  createNode,
+  openRawServer,
+  waitFor,
+} from '../connection/linkTesting.js';
+import {
+  FRAME_REVISION,
+  FrameKind,
+  FrameReader,
+  encodeFrame,
+} from '../connection/peerFrames.js';
+import type {CallResult} from '../types.js';
+import {PeerTask} from './peerTask.js';
+
+/** A node that says hello, takes frames in and answers nothing. */
+interface SilentNode {
+  readonly kinds: FrameKind[];
+  readonly node: ReturnType<typeof createNode>;
+  isLinkClosed(): boolean;
+  close(): void;
+}
+
+async function openSilentNode(): Promise<SilentNode> {
+  const kinds: FrameKind[] = [];
+  const sockets: Socket[] = [];
+  const {address, server} = await openRawServer((socket) => {
+    sockets.push(socket);
+    const reader = new FrameReader(({kind}) => kinds.push(kind));
+    socket.on('data', (chunk) => reader.add(chunk));
+    socket.on('end', () => socket.end());
+    socket.on('error', () => undefined);
+    const node = createNode('peer', address);
+    const revision = FRAME_REVISION;
+    socket.write(
+      encodeFrame({kind: FrameKind.HELLO, node, report: REPORT, revision}),
+    );
+  });
+  return {
+    kinds,
+    node: createNode('peer', address),
+    isLinkClosed: () => sockets.some((socket) => socket.destroyed),
+    close: () => {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+}
+
+function createTask(): PeerTask {
+  return new PeerTask({
+    self: {...createNode('origin', {host: HOST, port: 1}), service: 'tracking'},
+    clock: systemClock,
+    record: () => undefined,
+    describeReport: () => REPORT,
+    offerLocally: () => ({cancel: () => undefined}),
+    handlePeerVersion: () => undefined,
+    handleConfiguration: () => undefined,
+    handleNode: () => undefined,
+    handleReplaced: () => undefined,
+    needsNodes: () => false,
+  });
+}
+
+/** Sends a call and takes its node off the list. */
+async function retireWithCall(task: PeerTask, peer: SilentNode) {
+  const results: CallResult[] = [];
+  task.update([peer.node]);
+  await waitFor(() => task.listLinkedServices().has('booking'));
+  const chosen = task.choose('booking', 'book', 0, () => true);
+  const pending = chosen?.send(createCall('call'), (result) =>
+    results.push(result),
+  );
+  task.update([]);
+  await waitFor(() => !task.listLinkedServices().has('booking'));
+  return {results, pending};
+}
+
+// Guards against calls that wait for their deadline on a link which is not
+// watched any more, and against the end of one that is silent for too long.
+it('peer task: retired link with calls is watched for silence', async () => {
+  const peer = await openSilentNode();
+  const task = createTask();
+  const {results} = await retireWithCall(task, peer);
+  await waitFor(() => results.length === 1);
+  task.stop();
+  peer.close();
+  expect(results[0]?.end).to.equal(SendEnd.LOST);
+  expect(peer.kinds).to.include(FrameKind.PING);
+});
+
+// Guards against links that stay open for good after their last call.
+it('peer task: retired link closes when its last call is cancelled', async () => {
+  const peer = await openSilentNode();
+  const task = createTask();
+  const {pending} = await retireWithCall(task, peer);
+  pending?.cancel();
+  await waitFor(() => peer.isLinkClosed());
+  task.stop();
+  peer.close();
+  expect(peer.kinds).to.include(FrameKind.CALL);
+});
+
+// Guards against links that are opened while the process ends.
+it('peer task: stopped task opens no link', async () => {
+  const peer = await openSilentNode();
+  const task = createTask();
+  task.stop();
+  task.update([peer.node]);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  peer.close();
+  expect(task.countOpen()).to.equal(0);
+  expect(peer.kinds).to.deep.equal([]);
+});
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -65,6 +65,8 @@
 /** Keeps a link to each node that is called. */
 export class PeerTask {
   private readonly links = new Map<string, PeerLink>();
+  /** Links that are closed once their last call has ended. */
+  private readonly retired = new Set<PeerLink>();
   private linksByService: ReadonlyMap<string, readonly PeerLink[]> = new Map();
   /** Mean time of each kind of request, by node. */
   private readonly times = new Map<string, Map<string, number>>();
@@ -158,12 +160,17 @@
     this.isStopped = true;
     clearInterval(this.timer);
     clearTimeout(this.updateTimer);
-    for (const link of this.links.values()) link.stop();
+    for (const link of [...this.links.values(), ...this.retired]) link.stop();
     this.links.clear();
+    this.retired.clear();
   }
 
   private tick(): void {
     for (const link of this.links.values()) link.tick();
+    for (const link of this.retired) {
+      link.tick();
+      if (link.isEnded()) this.retired.delete(link);
+    }
   }
 
   private listCandidates(
@@ -225,6 +232,7 @@
 
   private close(name: string, link: PeerLink): void {
     link.retire();
+    if (!link.isEnded()) this.retired.add(link);
     this.links.delete(name);
     this.times.delete(name);
   }
