Count arriving bytes as a sign of life of a link

Cause: only whole frames reset the clock of a link. While a large result came over a slow link, the answer to the ping waited behind it, and after 1.4 s the link was given up with all calls on it.

Change: any bytes that arrive count.

A silent link is still given up after a ping without an answer (peerTask.test.ts).

--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -161,6 +161,8 @@
       });
     });
     socket.on('data', (chunk) => {
+      // Part of a large frame on a slow link is a sign of life too.
+      if (this.socket === socket) this.recordLife();
       try {
         reader.add(chunk);
       } catch (error) {
@@ -197,9 +199,12 @@
     sendFrame(this.socket, {kind: FrameKind.PING, report});
   }
 
-  private receive(socket: Socket, frame: Frame): void {
+  private recordLife(): void {
     this.heardMs = this.clock.readMs();
     this.askedMs = undefined;
+  }
+
+  private receive(socket: Socket, frame: Frame): void {
     switch (frame.kind) {
       case FrameKind.HELLO:
         this.isUp = true;
