End a link as soon as its node has ended its side

Cause: after the end of the node's side a socket closes only when its own pending frames are written. A node that does not read any more never lets that happen: the calls on the link waited for the ping (1.4 s), and a call sent meanwhile was taken in, dropped, and counted as one that may have run.

Change: the end of the node's side ends the link.

--- a/packages/sidecar/src/connection/linkLoss.test.ts
+++ b/packages/sidecar/src/connection/linkLoss.test.ts
@@ -1,19 +1,39 @@
+import type {Socket} from 'node:net';
 import {expect} from 'chai';
 import {SendEnd} from 'sycamoreyoke/request/resend';
+import {PING_MS} from '../constants.js';
 import {
+  HOST,
+  REPORT,
   createCall,
+  createNode,
   createResponse,
   openLink,
   openNode,
+  openRawServer,
   openSlowProxy,
   sendCall,
   waitFor,
 } from './linkTesting.js';
+import {FRAME_REVISION, FrameKind, encodeFrame} from './peerFrames.js';
 
 const LARGE_BYTES = 8 * 1024 * 1024;
 /** 8 MB take longer than a link may be silent. */
 const SLOW_BYTES_PER_MS = 3 * 1024;
 
+/** Says hello and reads nothing. */
+function sendHello(socket: Socket): void {
+  socket.on('error', () => undefined);
+  socket.write(
+    encodeFrame({
+      kind: FrameKind.HELLO,
+      node: createNode('peer', {host: HOST, port: 1}),
+      report: REPORT,
+      revision: FRAME_REVISION,
+    }),
+  );
+}
+
 // Guards against a slow link that is taken for a silent one while a result is
 // on its way.
 it('link loss: result that takes long to arrive is not lost', async () => {
@@ -29,3 +49,26 @@
   await node.server.close(0);
   expect(result.end).to.equal(SendEnd.RESPONSE);
 });
+
+// Guards against calls that wait for their deadline on a link whose node has
+// ended, and against calls that are taken in and never sent.
+it('link loss: end of the node ends the link at once', async () => {
+  let accepted: Socket | undefined;
+  const peer = await openRawServer((socket) => {
+    accepted = socket;
+    sendHello(socket);
+  });
+  const link = await openLink(peer.address);
+  const unsent = sendCall(link, createCall('unsent', 2 * LARGE_BYTES));
+  accepted?.end();
+  const startedMs = performance.now();
+  const result = await unsent;
+  const elapsedMs = performance.now() - startedMs;
+  const later = await sendCall(link, createCall('later'));
+  link.stop();
+  accepted?.destroy();
+  peer.server.close();
+  expect(result.end).to.equal(SendEnd.LOST);
+  expect(later.end).to.equal(SendEnd.REFUSED_BY_GATE);
+  expect(elapsedMs).to.be.lessThan(PING_MS);
+});
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -169,6 +169,12 @@
         this.disconnect(`peer sent no frame: ${(error as Error).message}`);
       }
     });
+    // The socket closes only after its own pending frames, which may not be
+    // read any more.
+    socket.on('end', () => {
+      socket.destroy();
+      this.handleEnd(socket, 'node ended the link');
+    });
     socket.on('error', (error) => this.handleEnd(socket, error.message));
     socket.on('close', () => this.handleEnd(socket, 'connection closed'));
   }
