--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -92,8 +92,13 @@
     parts.lifecycle.stop = schedule;
     parts.record(EventCode.NODE_LEAVING, {cause: signal});
     parts.peerServer.announceReport();
+    await this.takeRequests(schedule);
+    parts.clients.stopAccepting();
+    const leftMs = Math.max(0, schedule.answerMs - parts.clock.readMs());
+    const closingLinks = parts.peerServer.close(leftMs);
     await this.finishRequests(schedule);
     await this.endConnections(schedule);
+    await closingLinks;
     parts.clients.closeAll();
     // What the closed sockets report belongs into the log.
     await wait(0);
@@ -105,7 +110,6 @@
       server.closeAllConnections();
     }
     parts.peers.stop();
-    parts.peerServer.close();
     parts.upstream.stop();
     parts.configuration.stop();
     const waitedMs = Math.round(parts.clock.readMs() - startedMs);
@@ -113,20 +117,20 @@
     parts.log.flush();
   }
 
-  /** Takes requests as long as the schedule says, and waits for their ends. */
+  /** Waits while the listener stays open. */
+  private async takeRequests(schedule: StopSchedule): Promise<void> {
+    const {clock, upstream} = this.parts;
+    while (schedule.isListening(clock.readMs(), upstream.countCalls() > 0)) {
+      await wait(STOP_POLL_MS);
+    }
+  }
+
+  /** Waits until no request runs or waits for its answer. */
   private async finishRequests(schedule: StopSchedule): Promise<void> {
     const {clients, clock, upstream} = this.parts;
-    for (
-      let nowMs = clock.readMs();
-      nowMs < schedule.answerMs;
-      nowMs = clock.readMs()
-    ) {
-      const hasCalls = upstream.countCalls() > 0;
-      if (!schedule.isListening(nowMs, hasCalls)) {
-        clients.stopAccepting();
-        clients.endIdle();
-        if (!hasCalls && clients.countOpen() === 0) return;
-      }
+    while (clock.readMs() < schedule.answerMs) {
+      clients.endIdle();
+      if (upstream.countCalls() === 0 && clients.countOpen() === 0) return;
       await wait(STOP_POLL_MS);
     }
   }
@@ -134,7 +138,6 @@
   /** Answers what still runs, and waits until clients have closed. */
   private async endConnections(schedule: StopSchedule): Promise<void> {
     const {clients, clock, origin} = this.parts;
-    clients.stopAccepting();
     origin.answerOpen();
     while (clients.countConnections() > 0 && clock.readMs() < schedule.exitMs) {
       clients.endIdle();
