--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,7 +13,7 @@
 
 await build({
   ...OPTIONS,
-  entryPoints: ['platform/src/main.ts'],
+  entryPoints: ['platform/src/runSidecar.ts'],
   outfile: 'target/sidecar.cjs',
 });
 await build({
