Apply changed bounds without a restart

Cause: a changed settings file was only logged. A shorter grace time, for example, was unknown to the stop, which went on until the process was killed.

A retry budget that grows or shrinks keeps its count of retries (unit test).

--- a/packages/node/src/process/retryBudgets.ts
+++ b/packages/node/src/process/retryBudgets.ts
@@ -14,7 +14,7 @@
   find(service: string, share: number): RetryBudget {
     const known = this.byService.get(service);
     if (known?.share === share) return known.budget;
-    const budget = new RetryBudget(this.clock, share);
+    const budget = new RetryBudget(this.clock, () => share);
     this.byService.set(service, {share, budget});
     return budget;
   }
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -162,17 +162,8 @@
   readonly load: UpstreamLoad;
 }
 
-/** Settings of a sidecar, whatever their source. */
-export interface SidecarSettings {
-  readonly node: string;
-  readonly service: string;
-  readonly dataCentre: string;
-  readonly ip: string;
-  readonly peerPort: number;
-  readonly metricsPort: number | undefined;
-  readonly outbound: Address;
-  readonly ready: Address;
-  readonly upstream: Address;
+/** Settings that a running sidecar takes over. */
+export interface SidecarBounds {
   /** Time from SIGTERM to SIGKILL, ms. */
   readonly graceMs: number;
   /** Time in which a draining upstream must stop getting requests, ms. */
@@ -184,3 +175,16 @@
     readonly slack: number;
   };
 }
+
+/** Settings of a sidecar, whatever their source. */
+export interface SidecarSettings extends SidecarBounds {
+  readonly node: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly ip: string;
+  readonly peerPort: number;
+  readonly metricsPort: number | undefined;
+  readonly outbound: Address;
+  readonly ready: Address;
+  readonly upstream: Address;
+}
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -37,6 +37,7 @@
   FleetStore,
   NodeRecord,
   NodeReport,
+  SidecarBounds,
   SidecarSettings,
   WireProtocol,
 } from './types.js';
@@ -54,7 +55,9 @@
 
 /** The parts of a sidecar that its process and its adapter use. */
 export interface SidecarParts {
+  /** Its bounds follow `applyBounds`, so they are read at each use. */
   readonly settings: SidecarSettings;
+  readonly applyBounds: (bounds: SidecarBounds) => void;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly record: EventRecorder;
@@ -118,7 +121,8 @@
 
 /** Builds the tasks and connects their messages. */
 export function buildSidecar(adapter: SidecarAdapter): SidecarParts {
-  const {settings, wire, store} = adapter;
+  const {wire, store} = adapter;
+  const settings = {...adapter.settings};
   const container = createContainer(settings);
   const clock = container.get<Clock>(TOKENS.clock);
   const metrics = container.get<Metrics>(TOKENS.metrics);
@@ -147,7 +151,9 @@
   });
   const upstream: UpstreamTask = new UpstreamTask({
     service: settings.service,
-    drainMs: settings.drainMs,
+    get drainMs() {
+      return settings.drainMs;
+    },
     clock,
     wire,
     presence: container.get<UpstreamPresence>(TOKENS.presence),
@@ -249,7 +255,14 @@
     if (known) return known;
     const budget = createRetryAllowance(
       clock,
-      settings.retryBudget,
+      {
+        get share() {
+          return settings.retryBudget.share;
+        },
+        get slack() {
+          return settings.retryBudget.slack;
+        },
+      },
       countNodes,
     );
     budgets.set(service, budget);
@@ -277,6 +290,9 @@
   metrics.watch('log_lines_dropped', () => log.countDropped());
   return {
     settings,
+    applyBounds: ({graceMs, drainMs, retryBudget}) => {
+      Object.assign(settings, {graceMs, drainMs, retryBudget});
+    },
     clock,
     log,
     record,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -42,6 +42,8 @@
   [EventCode.SETTINGS_RELOADED]: describe(
     'The settings file was read again.',
     'changed: settings that differ',
+    'applied: those in force from now on',
+    'needsRestart: those that take effect at the next start',
     'cause',
   ),
   [EventCode.REQUEST_ADMITTED]: describe(
--- a/packages/sycamoreyoke/src/process/retryAllowance.test.ts
+++ b/packages/sycamoreyoke/src/process/retryAllowance.test.ts
@@ -73,3 +73,16 @@
   const taken = takeAll(Importance.CRITICAL, allowance);
   expect(taken * NODES).to.be.at.most(BUDGET.slack);
 });
+
+// Guards against a changed budget that is used only after a restart, and
+// against one that forgets what was taken under the old one.
+it('retry allowance: changed bounds hold at once', () => {
+  const bounds = {...BUDGET};
+  const allowance = createRetryAllowance(new VirtualClock(), bounds, () => 1);
+  const before = takeAll(Importance.CRITICAL, allowance);
+  bounds.slack *= 2;
+  const after = takeAll(Importance.CRITICAL, allowance);
+  expect(before + after).to.be.within(before + 1, bounds.slack);
+  bounds.slack /= 2;
+  expect(allowance.takeRetry(Importance.CRITICAL, false)).to.equal(false);
+});
--- a/packages/sycamoreyoke/src/process/retryAllowance.ts
+++ b/packages/sycamoreyoke/src/process/retryAllowance.ts
@@ -34,16 +34,18 @@
 /**
  * Creates the share of one of several nodes. Each node may use its part of the
  * share, since it counts its own requests, and an equal part of the slack, which
- * follows the number of nodes.
+ * follows the number of nodes. The bounds are read at each use.
  */
 export function createRetryAllowance(
   clock: Clock,
-  {share, slack}: FleetRetryBudget,
+  bounds: FleetRetryBudget,
   countNodes: () => number,
 ): RetryAllowance {
   const createBudget = (part: number) =>
-    new RetryBudget(clock, share * part, () =>
-      Math.max(1, Math.floor((slack * part) / countNodes())),
+    new RetryBudget(
+      clock,
+      () => bounds.share * part,
+      () => Math.max(1, Math.floor((bounds.slack * part) / countNodes())),
     );
   const whole = createBudget(USED_SHARE);
   const afterRun = createBudget(RUN_SHARE);
--- a/packages/sycamoreyoke/src/process/retryBudget.test.ts
+++ b/packages/sycamoreyoke/src/process/retryBudget.test.ts
@@ -8,7 +8,7 @@
 it('retry budget: agrees with a list of all attempts', () => {
   const random = createRandom(41);
   const clock = new VirtualClock();
-  const budget = new RetryBudget(clock, 0.1);
+  const budget = new RetryBudget(clock, () => 0.1);
   let attempts: Array<{readonly bucket: number; readonly isRetry: boolean}> =
     [];
   const counts = {taken: 0, refused: 0};
--- a/packages/sycamoreyoke/src/process/retryBudget.ts
+++ b/packages/sycamoreyoke/src/process/retryBudget.ts
@@ -19,7 +19,7 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly share: number,
+    private readonly readShare: () => number,
     /** Retries that the window may hold however few requests there are. */
     private readonly readFloor: () => number = () => BUDGET_FLOOR,
   ) {
@@ -46,7 +46,7 @@
   /** Whether one more retry fits. */
   hasRoom(): boolean {
     this.advance();
-    const limit = Math.max(this.readFloor(), this.share * this.firstSum);
+    const limit = Math.max(this.readFloor(), this.readShare() * this.firstSum);
     return this.retrySum + 1 <= limit;
   }
 
