Refuse responses whose head cannot be written

Cause: a response of the upstream with a control character in a header value, a header name that is no token, or a status above 599 went to ServerResponse.writeHead as it was. writeHead throws at such a name or value. The exception did not end the process: the link between the nodes took it for a bad frame ("peer sent no frame: Invalid character in header content") and closed, with every call on it, and the client got no answer at all, since its call had ended and its timer was cleared. Statuses 600 to 999 went on to the client.

Change: the node beside the upstream judges status, names and values with the checks of node:http, ends the request as lost (bad-response, with the fault in event 1111) and closes the connection. The origin makes the same check, for nodes of another version.

--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -26,6 +26,7 @@
   GATE_TICK_MS,
   UPSTREAM_DOWN_MS,
 } from '../constants.js';
+import type {RunEnd} from '../request/upstreamRun.js';
 import {UpstreamRun} from '../request/upstreamRun.js';
 import type {
   CallResult,
@@ -242,9 +243,11 @@
       readMs: () => this.parts.clock.readMs(),
       wire: this.parts.wire,
       pool: this.parts.pool,
-      handle: ({completion, result, isConnectionRefused, isOtherInstance}) => {
+      handle: (end) => {
+        const {completion, result} = end;
+        const {isConnectionRefused, isOtherInstance} = end;
         const elapsedMs = this.parts.clock.readMs() - startedMs;
-        this.recordRun(gateCall.call, upstream.instance, result, elapsedMs);
+        this.recordRun(gateCall.call, upstream.instance, end, elapsedMs);
         if (completion === Completion.SUCCEEDED) this.observeTime(elapsedMs);
         if (isConnectionRefused) this.markDown();
         if (isOtherInstance) this.clearInstance(upstream.instance);
@@ -330,7 +333,7 @@
   private recordRun(
     call: OutgoingCall,
     instance: string,
-    {end, status, reason}: CallResult,
+    {result: {end, status, reason}, message}: RunEnd,
     elapsedMs: number,
   ): void {
     const isServed = end === SendEnd.RESPONSE && status < FIRST_ERROR_STATUS;
@@ -341,6 +344,7 @@
         instance,
         status,
         reason: reason ?? '',
+        ...(message === '' ? {} : {message}),
         elapsedMs: Math.round(elapsedMs),
         running: this.gate.countRunning(),
         waiting: this.gate.countWaiting(),
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -18,6 +18,7 @@
 import type {ChosenNode, PeerTask} from '../process/peerTask.js';
 import type {CallResult, HeaderList, PendingCall} from '../types.js';
 import {GateReason} from '../types.js';
+import {findHeadFault} from './responseHead.js';
 
 /** A request whose head and body were read and whose route is known. */
 export interface RoutedRequest {
@@ -145,8 +146,9 @@
     );
   }
 
-  private handleResult(result: CallResult): void {
+  private handleResult(received: CallResult): void {
     if (this.isEnded) return;
+    const result = checkHead(received);
     this.countArrival(result);
     if (result.end === SendEnd.RESPONSE) {
       this.handleResponse(result);
@@ -294,6 +296,16 @@
   }
 }
 
+/** A node of another version may pass a response on that cannot be written. */
+function checkHead(result: CallResult): CallResult {
+  const {end, status, headers} = result;
+  const isSound =
+    end !== SendEnd.RESPONSE || findHeadFault(status, headers) === undefined;
+  return isSound
+    ? result
+    : createFailure(SendEnd.LOST, GateReason.BAD_RESPONSE);
+}
+
 /** Whether new calls should go elsewhere for a moment. */
 function isFaulty({end, reason}: CallResult): boolean {
   return (
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -16,6 +16,7 @@
   WireProtocol,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import {findHeadFault} from './responseHead.js';
 
 /** How a run ended, for the gate and for the sender. */
 export interface RunEnd {
@@ -23,6 +24,8 @@
   readonly result: CallResult;
   readonly isConnectionRefused: boolean;
   readonly isOtherInstance: boolean;
+  /** What was wrong with the connection, for the log. */
+  readonly message: string;
 }
 
 /** What a run is built from. */
@@ -112,7 +115,7 @@
         isConnectionRefused: true,
       });
     } else {
-      this.endLost(GateReason.CONNECTION_LOST);
+      this.endLost(GateReason.CONNECTION_LOST, exchange.message);
     }
   }
 
@@ -133,8 +136,12 @@
       return;
     }
     const isVouched = head.isSealed && head.requestId !== undefined;
-    if (!isVouched) {
-      this.endLost(GateReason.BAD_RESPONSE);
+    const fault = isVouched
+      ? findHeadFault(status, headers)
+      : 'no seal or no request id';
+    if (fault !== undefined) {
+      this.connection?.close('response is refused');
+      this.endLost(GateReason.BAD_RESPONSE, fault);
       return;
     }
     const isServed = status < INTERNAL_ERROR;
@@ -150,8 +157,9 @@
     });
   }
 
-  private endLost(reason: GateReason): void {
-    this.end(Completion.FAILED, {result: createFailure(SendEnd.LOST, reason)});
+  private endLost(reason: GateReason, message = ''): void {
+    const result = createFailure(SendEnd.LOST, reason);
+    this.end(Completion.FAILED, {result, message});
   }
 
   private end(
@@ -164,6 +172,7 @@
     this.parts.handle({
       isConnectionRefused: false,
       isOtherInstance: false,
+      message: '',
       ...rest,
       completion,
     });
