Refuse responses whose framing is not clear

Cause: http-parser-js reads a chunk size with parseInt and a length with Number. "-6" behind a chunk makes it step back and read the same bytes for ever, which stops the process; "five", "-5" and "zz" end the body at once, so a cut response went on as a whole one with its seal. A chunked response with a length, a coding besides chunked and a header line without a colon were guessed at. Its default encoding drops the high bit of each byte, so that 0x8a became a line break in a value, and a line of 64 KB of blanks cost 2.5 s in a regular expression.

Change: responseParser.ts checks the status line, header lines, framing and chunk sizes around the library's parser and ends the exchange as lost (bad-response). Headers are read as latin1.

Measured: with the old parser, seven of the nine framings in upstreamConnections.test.ts gave 200 or 504 in place of 502, the negative chunk size stopped the node until the test gave up (alone, the parser did not return within 10 s), and the header value with 0x8a was never answered; two different lengths were refused already. Now all are answered 502 at once. responseParser.test.ts: 300 random splits of one stream, and 13 refused streams.

--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -1,8 +1,6 @@
 /** One keep-alive connection to the upstream, one request at a time. */
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
-import type {HTTPParserJS} from 'http-parser-js';
-import {HTTPParser} from 'http-parser-js';
 import {
   KEEP_ALIVE_SHARE,
   MAX_RESPONSE_BYTES,
@@ -10,7 +8,10 @@
   UPSTREAM_IDLE_MS,
 } from '../constants.js';
 import type {Address, HeaderList} from '../types.js';
+import {GateReason} from '../types.js';
 import {getHeader} from './headerList.js';
+import type {ResponseHead} from './responseParser.js';
+import {ResponseParser} from './responseParser.js';
 
 /** A request as it is written to the upstream. */
 export interface UpstreamRequest {
@@ -38,8 +39,10 @@
       readonly headers: HeaderList;
       readonly body: Uint8Array;
     }
+  | {readonly end: ExchangeEnd.NOT_SENT; readonly message: string}
   | {
-      readonly end: ExchangeEnd.NOT_SENT | ExchangeEnd.LOST;
+      readonly end: ExchangeEnd.LOST;
+      readonly reason: GateReason;
       readonly message: string;
     };
 
@@ -48,22 +51,25 @@
   readonly settle: (result: ExchangeResult) => void;
 }
 
-interface PartialResponse {
-  readonly status: number;
-  readonly headers: HeaderList;
+interface PartialResponse extends ResponseHead {
   readonly isOwn: boolean;
-  readonly isKeptAlive: boolean;
   readonly chunks: Buffer[];
   size: number;
 }
 
-/** Tells the parser that a response has no body. */
-const SKIP_BODY = 1;
+/** What a connection needs of the pool that it belongs to. */
+export interface ConnectionParts {
+  readonly address: Address;
+  readonly readMs: () => number;
+  /** Called when the connection can take another request. */
+  readonly handleIdle: (connection: UpstreamConnection) => void;
+}
+
 const NO_BODY_STATUSES = new Set([204, 304]);
 
 /** Owns a socket and the parser of what arrives on it. */
 export class UpstreamConnection {
-  private readonly parser: HTTPParserJS;
+  private readonly parser: ResponseParser;
   private readonly socket: Socket;
   private exchange: RunningExchange | undefined;
   private response: PartialResponse | undefined;
@@ -72,17 +78,14 @@
   private idleSinceMs = 0;
   private maxIdleMs = UPSTREAM_IDLE_MS;
 
-  constructor(
-    address: Address,
-    private readonly readMs: () => number,
-    private readonly handleIdle: (connection: UpstreamConnection) => void,
-  ) {
-    this.parser = this.createParser();
-    this.socket = connect({
-      host: address.host,
-      port: address.port,
-      allowHalfOpen: true,
+  constructor(private readonly parts: ConnectionParts) {
+    this.parser = new ResponseParser({
+      handleHead: (head) => this.startResponse(head),
+      handleBody: (piece) => this.addBody(piece),
+      handleEnd: () => this.finishResponse(),
     });
+    const {host, port} = parts.address;
+    this.socket = connect({host, port, allowHalfOpen: true});
     this.socket.setNoDelay(true);
     this.socket.setTimeout(UPSTREAM_CONNECT_TIMEOUT_MS, () => {
       if (!this.isConnected) this.close('connecting took too long');
@@ -113,17 +116,20 @@
 
   /** Whether it has been idle for no longer than the given time. */
   isReusable(maxIdleMs: number): boolean {
-    const idleMs = this.readMs() - this.idleSinceMs;
+    const idleMs = this.parts.readMs() - this.idleSinceMs;
     return !this.isClosed && idleMs < Math.min(maxIdleMs, this.maxIdleMs);
   }
 
   /** Closes the connection; a running exchange is lost. */
-  close(message: string): void {
+  close(message: string, reason = GateReason.CONNECTION_LOST): void {
     if (this.isClosed) return;
     this.isClosed = true;
     this.socket.destroy();
-    const end = this.isConnected ? ExchangeEnd.LOST : ExchangeEnd.NOT_SENT;
-    this.settle({end, message});
+    this.settle(
+      this.isConnected
+        ? {end: ExchangeEnd.LOST, reason, message}
+        : {end: ExchangeEnd.NOT_SENT, message},
+    );
   }
 
   private send(): void {
@@ -137,10 +143,10 @@
 
   private receive(chunk: Buffer): void {
     if (this.isClosed) return;
-    const consumed = this.parser.execute(chunk);
-    if (consumed instanceof Error) {
-      this.close(`upstream sent no valid response: ${consumed.message}`);
-    }
+    const error = this.parser.add(chunk);
+    if (!error) return;
+    const message = `upstream sent no valid response: ${error.message}`;
+    this.close(message, GateReason.BAD_RESPONSE);
   }
 
   /**
@@ -159,65 +165,51 @@
     });
   }
 
-  private createParser(): HTTPParserJS {
-    const parser = new HTTPParser(HTTPParser.RESPONSE);
-    parser[HTTPParser.kOnHeadersComplete] = (info) => {
-      this.response = this.startResponse(info.statusCode, info.headers, {
-        isKeptAlive: info.shouldKeepAlive,
-      });
-      const {method} = this.exchange?.request ?? {};
-      const isBodyless =
-        method === 'HEAD' || NO_BODY_STATUSES.has(info.statusCode ?? 0);
-      return isBodyless ? SKIP_BODY : 0;
-    };
-    parser[HTTPParser.kOnBody] = (buffer, offset, length) => {
-      const {response} = this;
-      if (!response) return;
-      response.size += length;
-      if (response.size > MAX_RESPONSE_BYTES) {
-        this.close('response body is too large');
-        return;
-      }
-      response.chunks.push(buffer.subarray(offset, offset + length));
-    };
-    parser[HTTPParser.kOnMessageComplete] = () => this.finishResponse();
-    return parser;
+  /** Says whether a body may follow. */
+  private startResponse(head: ResponseHead): boolean {
+    const {request} = this.exchange ?? {};
+    if (!request) {
+      this.close('upstream sent a response that nobody waits for');
+      return false;
+    }
+    const {status, headers} = head;
+    const isOwn = status >= 200 && request.isOwnResponse(status, headers);
+    this.response = {...head, isOwn, chunks: [], size: 0};
+    return request.method !== 'HEAD' && !NO_BODY_STATUSES.has(status);
   }
 
-  private startResponse(
-    status: number,
-    headers: HeaderList,
-    {isKeptAlive}: {isKeptAlive: boolean},
-  ): PartialResponse | undefined {
-    if (!this.exchange) {
-      this.close('upstream sent a response that nobody waits for');
-      return undefined;
+  private addBody(piece: Buffer): void {
+    const {response} = this;
+    if (!response) return;
+    response.size += piece.length;
+    if (response.size > MAX_RESPONSE_BYTES) {
+      this.close('response body is too large');
+      return;
     }
-    const isOwn =
-      status >= 200 && this.exchange.request.isOwnResponse(status, headers);
-    return {status, headers, isOwn, isKeptAlive, chunks: [], size: 0};
+    response.chunks.push(piece);
   }
 
   private finishResponse(): void {
     const {response} = this;
     this.response = undefined;
-    if (!response?.isOwn) return;
-    const {status, headers, chunks, isKeptAlive} = response;
-    // The parser reuses no memory, but its chunks share that of the socket.
-    const body = Buffer.concat(chunks);
+    if (!response?.isOwn || !this.exchange) return;
+    const {status, headers, isKeptAlive} = response;
+    const body = Buffer.concat(response.chunks);
     this.maxIdleMs = readIdleMs(headers);
-    this.idleSinceMs = this.readMs();
+    this.idleSinceMs = this.parts.readMs();
     const isFlushed = this.socket.writableLength === 0;
     const hasLength = hasDelimiter(status, headers);
-    const isReusable = isKeptAlive && isFlushed && hasLength;
+    const isAlone = !this.parser.hasMore();
+    const isReusable = isKeptAlive && isFlushed && hasLength && isAlone;
     this.settle({end: ExchangeEnd.RESPONSE, status, headers, body});
-    if (isReusable) this.handleIdle(this);
+    if (isReusable) this.parts.handleIdle(this);
     else this.close('connection is not reused');
   }
 
   private settle(result: ExchangeResult): void {
     const {exchange} = this;
     this.exchange = undefined;
+    this.response = undefined;
     exchange?.settle(result);
   }
 }
--- a/packages/sidecar/src/connection/upstreamPool.ts
+++ b/packages/sidecar/src/connection/upstreamPool.ts
@@ -22,9 +22,11 @@
       if (connection.isReusable(Infinity)) this.idle.push(connection);
       else connection.close('idle for too long');
     }
-    return new UpstreamConnection(this.address, this.readMs, (connection) =>
-      this.idle.push(connection),
-    );
+    return new UpstreamConnection({
+      address: this.address,
+      readMs: this.readMs,
+      handleIdle: (connection) => this.idle.push(connection),
+    });
   }
 
   /** Closes all idle connections, for example after a crash. */
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -115,7 +115,7 @@
         isConnectionRefused: true,
       });
     } else {
-      this.endLost(GateReason.CONNECTION_LOST, exchange.message);
+      this.endLost(exchange.reason, exchange.message);
     }
   }
 
