Refuse calls that still wait when the time of a stop is up

Cause: all calls of a link that had not ended at the end of a stop were reported as lost, also those in the queue of the gate, which the upstream has not seen: a booking that never ran was answered 502.

Change: a pending call says whether it waits at the gate. At the end of the time the links give up waiting calls first, as not run, and then those that run, as lost; the other order would let a waiting call start in the slot of one that ends.

Measured: a running and a waiting call at the end of the time: before both LOST, after the waiting one is refused as not run, and the upstream sees one connection.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -88,6 +88,17 @@
     if (this.running.size === 0) this.end();
   }
 
+  /** Gives up the calls that wait at the gate. */
+  refuseWaiting(): void {
+    for (const [id, call] of [...this.running]) {
+      if (!call.isWaiting?.()) continue;
+      this.running.delete(id);
+      call.cancel();
+      this.sendResult(id, createClosingRefusal());
+    }
+    this.finishClose();
+  }
+
   /** Gives up the calls that still run, which may have had effects. */
   cancelRunning(): void {
     for (const [id, call] of [...this.running]) {
--- a/packages/sidecar/src/connection/linkClose.test.ts
+++ b/packages/sidecar/src/connection/linkClose.test.ts
@@ -158,6 +158,21 @@
     expect(node.taken[0]?.isCancelled).to.equal(true);
   });
 
+  // Guards against a call that the upstream has not seen and that counts as one
+  // that may have run.
+  it('call that waits at the gate at the end has not run', async () => {
+    const node = await start();
+    const link = await dial(node.address);
+    const sending = await sendCalls(node, link, 2);
+    for (const entry of node.taken.slice(1)) entry.isWaiting = true;
+    await node.server.close(0);
+    expect(readEnds(await Promise.all(sending))).to.deep.equal([
+      SendEnd.LOST,
+      SendEnd.REFUSED_BY_GATE,
+    ]);
+    expect(node.taken[1]?.isCancelled).to.equal(true);
+  });
+
   // Guards against a process that outlives its grace time because a peer reads
   // its results slowly.
   it('close ends at its time', async () => {
--- a/packages/sidecar/src/connection/linkTesting.ts
+++ b/packages/sidecar/src/connection/linkTesting.ts
@@ -37,6 +37,8 @@
   readonly call: OutgoingCall;
   readonly settle: ResultHandler;
   isCancelled: boolean;
+  /** Whether it waits at the gate. */
+  isWaiting: boolean;
 }
 
 /** A server of links whose calls wait until the test ends them. */
@@ -101,9 +103,17 @@
   const server = new PeerServer({
     describeSelf: () => ({node: createNode(node, address), report: REPORT}),
     offer: (call, settle) => {
-      const entry: TakenCall = {call, settle, isCancelled: false};
+      const entry: TakenCall = {
+        call,
+        settle,
+        isCancelled: false,
+        isWaiting: false,
+      };
       taken.push(entry);
-      return {cancel: () => void (entry.isCancelled = true)};
+      return {
+        cancel: () => void (entry.isCancelled = true),
+        isWaiting: () => entry.isWaiting,
+      };
     },
     handleHello: () => undefined,
     handlePeerVersion: () => undefined,
@@ -194,7 +204,8 @@
   return port;
 }
 
-function listen(server: Server, port: number): Promise<number> {
+/** Listens and gives the port. */
+export function listen(server: Server, port: number): Promise<number> {
   return new Promise((resolve) => {
     server.listen(port, HOST, () =>
       resolve((server.address() as AddressInfo).port),
--- a/packages/sidecar/src/connection/peerServer.ts
+++ b/packages/sidecar/src/connection/peerServer.ts
@@ -72,6 +72,8 @@
   }
 
   private cancelRunning(): void {
+    // The end of a running call would let a waiting one start.
+    for (const link of this.links) link.refuseWaiting();
     for (const link of this.links) link.cancelRunning();
   }
 
--- /dev/null
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -0,0 +1,65 @@
+import {createServer} from 'node:net';
+import {systemClock} from '@sycamoreyoke/node/process/systemClock';
+import {expect} from 'chai';
+import {CallParents} from 'sycamoreyoke/process/callParents';
+import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
+import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
+import {HOST, createCall, listen} from '../connection/linkTesting.js';
+import {UpstreamPool} from '../connection/upstreamPool.js';
+import type {CallResult} from '../types.js';
+import {UpstreamTask} from './upstreamTask.js';
+
+// Guards against a call that is said not to have reached its upstream although
+// it runs there, and against a waiting one that starts after it was given up.
+it('upstream task: only calls in the queue wait', async () => {
+  let connections = 0;
+  const upstream = createServer(() => (connections += 1));
+  const port = await listen(upstream, 0);
+  const task = new UpstreamTask({
+    service: 'booking',
+    drainMs: 1_000,
+    clock: systemClock,
+    wire: {
+      readClientHead: () => {
+        throw new Error('not called');
+      },
+      buildUpstreamHeaders: () => [],
+      readUpstreamHead: () => {
+        throw new Error('not called');
+      },
+    },
+    presence: new UpstreamPresence(systemClock),
+    callParents: new CallParents(),
+    pool: new UpstreamPool({host: HOST, port}, () => systemClock.readMs()),
+    parameters: GOODPUT_PARAMETERS,
+    report: () => undefined,
+    record: () => undefined,
+    handleChange: () => undefined,
+  });
+  task.observeHeartbeat({
+    instance: 'i-1',
+    slots: 1,
+    isDraining: false,
+    coldMs: 0,
+    sequence: 1,
+    bornMs: 1,
+  });
+  const results: CallResult[] = [];
+  const offer = (requestId: string) =>
+    task.offer({...createCall(requestId), leftMs: 200}, (result) =>
+      results.push(result),
+    );
+  const running = offer('running');
+  const waiting = offer('waiting');
+  expect([running.isWaiting?.(), waiting.isWaiting?.()]).to.deep.equal([
+    false,
+    true,
+  ]);
+  waiting.cancel();
+  expect(waiting.isWaiting?.()).to.equal(false);
+  await new Promise((resolve) => setTimeout(resolve, 400));
+  task.stop();
+  upstream.close();
+  expect(connections).to.equal(1);
+  expect(results).to.have.length(1);
+});
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -176,7 +176,10 @@
       requestClass: call.kind,
     };
     this.apply(this.gate.offer(arrival));
-    return {cancel: () => this.cancel(ticket)};
+    return {
+      cancel: () => this.cancel(ticket),
+      isWaiting: () => this.isWaiting(ticket),
+    };
   }
 
   stop(): void {
@@ -267,6 +270,11 @@
     this.apply(actions);
   }
 
+  private isWaiting(ticket: string): boolean {
+    const gateCall = this.calls.get(ticket);
+    return gateCall !== undefined && gateCall.run === undefined;
+  }
+
   /**
    * A request that must not be repeated runs to its end: stopping it would
    * leave the upstream's state unknown to everyone.
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -64,6 +64,8 @@
 /** A call that can be given up. */
 export interface PendingCall {
   cancel(): void;
+  /** Whether it waits at the gate, so that its upstream has not seen it. */
+  readonly isWaiting?: () => boolean;
 }
 
 /** Takes the result of a call, once. */
