Refuse calls of nodes of the earlier version before a link ends

Cause: such nodes get no GOODBYE, so during a rolling upgrade a call that crossed the close was still lost, and they kept sending to a node whose links closed while no other node of the service was left.

Change: a link that closes reports its node as unavailable, in answers to pings and in results too, so that callers of either version choose it no more. A link to a node of the earlier version refuses calls for 200 ms before it ends.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -1,7 +1,11 @@
 /** A link that another node has dialled, and the calls that run for it. */
 import type {Socket} from 'node:net';
 import {SendEnd} from 'sycamoreyoke/request/resend';
-import {ACCEPTED_SILENCE_MS, CLOSING_SILENCE_MS} from '../constants.js';
+import {
+  ACCEPTED_SILENCE_MS,
+  CLOSING_REFUSAL_MS,
+  CLOSING_SILENCE_MS,
+} from '../constants.js';
 import type {
   CallResult,
   NodeRecord,
@@ -77,15 +81,17 @@
     });
   }
 
-  send(frame: Frame): void {
-    sendFrame(this.socket, frame);
+  /** Tells the peer what has changed. */
+  sendReport(): void {
+    this.send({kind: FrameKind.REPORT, report: this.describeReport()});
   }
 
   /** Refuses new calls and ends the link after the last result. */
   close(): void {
     if (this.phase !== LinkPhase.OPEN) return;
     this.phase = LinkPhase.CLOSING;
-    if (this.running.size === 0) this.end();
+    this.sendReport();
+    this.finishClose();
   }
 
   /** Gives up the calls that wait at the gate. */
@@ -106,14 +112,26 @@
       if (!this.running.delete(id)) continue;
       this.sendResult(id, createFailure(SendEnd.LOST, GateReason.LINK_LOST));
     }
-    if (this.phase !== LinkPhase.ENDED) this.end();
+    this.end();
   }
 
   disconnect(): void {
     this.socket.destroy();
   }
 
+  private send(frame: Frame): void {
+    sendFrame(this.socket, frame);
+  }
+
+  /** A link that closes takes no calls, whatever the node's own load is. */
+  private describeReport(): NodeReport {
+    const {report} = this.parts.describeSelf();
+    if (this.phase === LinkPhase.OPEN) return report;
+    return {...report, load: {...report.load, isAvailable: false}};
+  }
+
   private end(): void {
+    if (this.phase === LinkPhase.ENDED) return;
     if (this.peerRevision >= GOODBYE_REVISION) {
       this.send({kind: FrameKind.GOODBYE});
     }
@@ -129,17 +147,15 @@
         this.peerRevision = frame.revision;
         send({
           kind: FrameKind.HELLO,
-          ...this.parts.describeSelf(),
+          node: this.parts.describeSelf().node,
+          report: this.describeReport(),
           revision: FRAME_REVISION,
         });
         this.parts.handleHello(frame.node);
         this.parts.handlePeerVersion(frame.report.configurationVersion, send);
         return;
       case FrameKind.PING:
-        send({
-          kind: FrameKind.REPORT,
-          report: this.parts.describeSelf().report,
-        });
+        this.sendReport();
         this.parts.handlePeerVersion(frame.report.configurationVersion, send);
         return;
       case FrameKind.CALL:
@@ -187,11 +203,13 @@
 
   private finishClose(): void {
     if (this.phase !== LinkPhase.CLOSING || this.running.size > 0) return;
-    this.end();
+    if (this.peerRevision >= GOODBYE_REVISION) this.end();
+    // Calls that cross the close can be refused only while it reads them.
+    else setTimeout(() => this.end(), CLOSING_REFUSAL_MS);
   }
 
   private sendResult(id: number, result: CallResult): void {
-    const {report} = this.parts.describeSelf();
+    const report = this.describeReport();
     this.send({kind: FrameKind.RESULT, id, result, report});
   }
 }
--- a/packages/sidecar/src/connection/linkClose.test.ts
+++ b/packages/sidecar/src/connection/linkClose.test.ts
@@ -243,8 +243,9 @@
     expect(link.closings).to.deep.equal([]);
   });
 
-  // Guards against a frame that nodes of the earlier version take for a fault.
-  it('node of the earlier version gets no goodbye', async () => {
+  // Guards against a frame that nodes of the earlier version take for a fault,
+  // and against calls of theirs that nobody answers.
+  it('node of the earlier version gets refusals and no goodbye', async () => {
     const node = await start();
     const socket = connect(node.address);
     cleanups.push(() => socket.destroy());
@@ -262,9 +263,23 @@
     length.writeUInt32BE(earlier.length);
     socket.write(Buffer.concat([length, earlier]));
     await waitFor(() => frames.length === 1);
-    await node.server.close(CLOSE_MS);
+    const closing = node.server.close(CLOSE_MS);
+    const call = createCall('crossing');
+    socket.write(encodeFrame({kind: FrameKind.CALL, id: 7, call}));
+    await closing;
     await waitFor(() => socket.destroyed);
-    expect(frames.map(({kind}) => kind)).to.deep.equal([FrameKind.HELLO]);
+    expect(frames.map(({kind}) => kind)).to.deep.equal([
+      FrameKind.HELLO,
+      FrameKind.REPORT,
+      FrameKind.RESULT,
+    ]);
+    const [, told, refused] = frames;
+    expect(told).to.have.nested.property('report.load.isAvailable', false);
+    expect(refused).to.deep.include({id: 7});
+    expect(refused).to.have.nested.property(
+      'result.end',
+      SendEnd.REFUSED_BY_GATE,
+    );
   });
 
   // Guards against a rolling upgrade in which a frame of the newer version ends
--- a/packages/sidecar/src/connection/peerServer.ts
+++ b/packages/sidecar/src/connection/peerServer.ts
@@ -4,7 +4,6 @@
 import {CLOSING_FLUSH_MS} from '../constants.js';
 import type {AcceptedLinkParts} from './acceptedLink.js';
 import {AcceptedLink} from './acceptedLink.js';
-import {FrameKind} from './peerFrames.js';
 
 /** Owns the accepted links. */
 export class PeerServer {
@@ -32,8 +31,7 @@
 
   /** Tells all callers at once what has changed. */
   announceReport(): void {
-    const {report} = this.parts.describeSelf();
-    for (const link of this.links) link.send({kind: FrameKind.REPORT, report});
+    for (const link of this.links) link.sendReport();
   }
 
   /**
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -22,6 +22,9 @@
 /** Silence after which a peer that was told of the close of a link, and keeps
  * its side open, is gone; a lost packet is sent again within it. */
 export const CLOSING_SILENCE_MS = 1_500;
+/** Time for which a link to a node of the earlier version, which knows no
+ * GOODBYE, refuses calls before it ends. */
+export const CLOSING_REFUSAL_MS = 200;
 /** Part of the time of a close that is kept for the last frames. */
 export const CLOSING_FLUSH_MS = 100;
 /** A node whose link was lost, or that refused for a fault, is avoided. */
