--- a/packages/node/src/process/eventLog.ts
+++ b/packages/node/src/process/eventLog.ts
@@ -4,7 +4,10 @@
 import type {EventSink, TimelineEvent} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 
-const ERRORS = new Set([EventCode.INVARIANT_VIOLATED]);
+const ERRORS = new Set([
+  EventCode.INVARIANT_VIOLATED,
+  EventCode.PROCESS_FAILED,
+]);
 
 const WARNINGS = new Set([
   EventCode.NODE_PAUSED,
--- a/packages/sidecar/src/process/decisionLog.ts
+++ b/packages/sidecar/src/process/decisionLog.ts
@@ -12,6 +12,8 @@
   SERVED,
   /** Links and members, of which a start brings tens at once. */
   NEIGHBOUR,
+  /** Start, stop and failure of the process. */
+  PROCESS,
   OTHER,
 }
 
@@ -19,6 +21,7 @@
 const LINE_BUDGETS: Readonly<Record<LineKind, number>> = {
   [LineKind.SERVED]: 10,
   [LineKind.NEIGHBOUR]: 10,
+  [LineKind.PROCESS]: 10,
   [LineKind.OTHER]: 50,
 };
 const NEIGHBOUR_CODES: ReadonlySet<EventCode> = new Set([
@@ -26,6 +29,13 @@
   EventCode.LINK_DOWN,
   EventCode.MEMBER_JOINED,
 ]);
+const PROCESS_CODES: ReadonlySet<EventCode> = new Set([
+  EventCode.NODE_STARTED,
+  EventCode.NODE_LEAVING,
+  EventCode.NODE_STOPPED,
+  EventCode.SETTINGS_RELOADED,
+  EventCode.PROCESS_FAILED,
+]);
 const BUDGET_WINDOW_MS = 1_000;
 /** Lines are written together this often; each write wakes the process. */
 const FLUSH_MS = 500;
@@ -85,6 +95,11 @@
     return this.bytes;
   }
 
+  /** Whether lines are not written yet. */
+  hasPending(): boolean {
+    return this.isWriting || this.lines.length > 0;
+  }
+
   countDropped(): number {
     return this.dropped;
   }
@@ -159,6 +174,7 @@
   return {
     [LineKind.SERVED]: 0,
     [LineKind.NEIGHBOUR]: 0,
+    [LineKind.PROCESS]: 0,
     [LineKind.OTHER]: 0,
   };
 }
@@ -167,5 +183,6 @@
   const isServed =
     code === EventCode.CALL_COMPLETED || code === EventCode.REQUEST_FINISHED;
   if (isServed) return LineKind.SERVED;
+  if (PROCESS_CODES.has(code)) return LineKind.PROCESS;
   return NEIGHBOUR_CODES.has(code) ? LineKind.NEIGHBOUR : LineKind.OTHER;
 }
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -46,6 +46,12 @@
     'needsRestart: those that take effect at the next start',
     'cause',
   ),
+  [EventCode.PROCESS_FAILED]: describe(
+    'A fault of the program; the process stops and its exit code is not 0.',
+    'cause: uncaughtException, unhandledRejection or stop',
+    'message',
+    'stack',
+  ),
   [EventCode.REQUEST_ADMITTED]: describe(
     'A call passed its checks and was offered to the gate.',
     'caller',
