--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -47,8 +47,8 @@
     'cause',
   ),
   [EventCode.PROCESS_FAILED]: describe(
-    'A fault of the program; the process stops and its exit code is not 0.',
-    'cause: uncaughtException, unhandledRejection or stop',
+    'A fault of the program, or a stop that has no time left; the exit code is not 0.',
+    'cause: uncaughtException, unhandledRejection, stop (it failed) or grace (it took too long)',
     'message',
     'stack',
   ),
