Bound the bytes that an upstream may send for a request

Cause: the parser counted the bytes of one head only. Interim responses, responses to other requests, chunk extensions and trailers were read until the deadline, a body up to 64 MB on every connection, and bytes that arrived between two requests spoiled the next one.

Change: an exchange has a limit for bodies (32 MiB), and one for all else (128 KiB beyond the size of the body); unfinished responses of all connections share 64 MiB, and the largest gives way, so that small ones go on. Small pieces are copied together, since each buffer costs some hundred bytes. Bytes that no request waits for close their connection (event 1802).

--- a/packages/sidecar/src/connection/responseParser.ts
+++ b/packages/sidecar/src/connection/responseParser.ts
@@ -65,6 +65,8 @@
 const LibraryParser = HTTPParser as unknown as new (type: string) => LineParser;
 // The default drops the high bit of each byte, which can make a line break.
 HTTPParser.encoding = 'latin1';
+// The bytes of an exchange have a limit of their own.
+HTTPParser.maxHeaderSize = Infinity;
 
 /**
  * The library takes a chunk size or a length that is no number, or is below
--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -3,12 +3,15 @@
 import {connect} from 'node:net';
 import {
   KEEP_ALIVE_SHARE,
-  MAX_RESPONSE_BYTES,
+  RESPONSE_LIMITS,
   UPSTREAM_CONNECT_TIMEOUT_MS,
   UPSTREAM_IDLE_MS,
 } from '../constants.js';
 import type {Address, HeaderList} from '../types.js';
 import {GateReason} from '../types.js';
+import type {ByteBudget, ExchangeBytes} from './byteBudget.js';
+import {findExcess} from './byteBudget.js';
+import {ByteList} from './byteList.js';
 import {getHeader} from './headerList.js';
 import type {ResponseHead} from './responseParser.js';
 import {ResponseParser} from './responseParser.js';
@@ -49,20 +52,24 @@
 interface RunningExchange {
   readonly request: UpstreamRequest;
   readonly settle: (result: ExchangeResult) => void;
+  readonly bytes: ExchangeBytes;
 }
 
 interface PartialResponse extends ResponseHead {
   readonly isOwn: boolean;
-  readonly chunks: Buffer[];
-  size: number;
+  readonly body: ByteList;
 }
 
 /** What a connection needs of the pool that it belongs to. */
 export interface ConnectionParts {
   readonly address: Address;
   readonly readMs: () => number;
+  /** Bytes of unfinished responses, of all connections together. */
+  readonly budget: ByteBudget<UpstreamConnection>;
   /** Called when the connection can take another request. */
   readonly handleIdle: (connection: UpstreamConnection) => void;
+  /** Called with bytes for which no request waits. */
+  readonly handleUnasked: (message: string) => void;
 }
 
 const NO_BODY_STATUSES = new Set([204, 304]);
@@ -109,7 +116,8 @@
         resolve({end: ExchangeEnd.NOT_SENT, message});
         return;
       }
-      this.exchange = {request, settle: resolve};
+      const bytes = {received: 0, body: 0};
+      this.exchange = {request, settle: resolve, bytes};
       if (this.isConnected) this.send();
     });
   }
@@ -143,10 +151,26 @@
 
   private receive(chunk: Buffer): void {
     if (this.isClosed) return;
+    const bytes = this.exchange?.bytes;
+    if (!bytes) {
+      const message = 'upstream sent bytes that no request waits for';
+      this.parts.handleUnasked(message);
+      this.close(message);
+      return;
+    }
+    bytes.received += chunk.length;
     const error = this.parser.add(chunk);
-    if (!error) return;
-    const message = `upstream sent no valid response: ${error.message}`;
-    this.close(message, GateReason.BAD_RESPONSE);
+    if (!this.exchange) return;
+    this.checkBytes(bytes);
+    if (error) {
+      const message = `upstream sent no valid response: ${error.message}`;
+      this.close(message, GateReason.BAD_RESPONSE);
+    }
+  }
+
+  private checkBytes(bytes: ExchangeBytes): void {
+    const excess = findExcess(bytes, RESPONSE_LIMITS);
+    if (excess) this.close(excess, GateReason.RESPONSE_TOO_LARGE);
   }
 
   /**
@@ -168,25 +192,31 @@
   /** Says whether a body may follow. */
   private startResponse(head: ResponseHead): boolean {
     const {request} = this.exchange ?? {};
-    if (!request) {
-      this.close('upstream sent a response that nobody waits for');
-      return false;
-    }
+    if (!request) return false;
     const {status, headers} = head;
     const isOwn = status >= 200 && request.isOwnResponse(status, headers);
-    this.response = {...head, isOwn, chunks: [], size: 0};
-    return request.method !== 'HEAD' && !NO_BODY_STATUSES.has(status);
+    this.response = {...head, isOwn, body: new ByteList()};
+    const length = Number(getHeader(headers, 'content-length') ?? 0);
+    if (request.method === 'HEAD' || NO_BODY_STATUSES.has(status)) return false;
+    if (length > RESPONSE_LIMITS.maxBodyBytes) {
+      const message = `upstream announced a body of ${length} bytes`;
+      this.close(message, GateReason.RESPONSE_TOO_LARGE);
+    }
+    return true;
   }
 
   private addBody(piece: Buffer): void {
-    const {response} = this;
-    if (!response) return;
-    response.size += piece.length;
-    if (response.size > MAX_RESPONSE_BYTES) {
-      this.close('response body is too large');
-      return;
-    }
-    response.chunks.push(piece);
+    const {response, exchange} = this;
+    if (!response || !exchange) return;
+    exchange.bytes.body += piece.length;
+    this.checkBytes(exchange.bytes);
+    if (!response.isOwn || this.isClosed) return;
+    response.body.add(piece);
+    const largest = this.parts.budget.reserve(this, piece.length);
+    largest?.close(
+      'responses that arrive together are too large',
+      GateReason.MEMORY_FULL,
+    );
   }
 
   private finishResponse(): void {
@@ -194,7 +224,7 @@
     this.response = undefined;
     if (!response?.isOwn || !this.exchange) return;
     const {status, headers, isKeptAlive} = response;
-    const body = Buffer.concat(response.chunks);
+    const body = response.body.join();
     this.maxIdleMs = readIdleMs(headers);
     this.idleSinceMs = this.parts.readMs();
     const isFlushed = this.socket.writableLength === 0;
@@ -210,6 +240,7 @@
     const {exchange} = this;
     this.exchange = undefined;
     this.response = undefined;
+    this.parts.budget.release(this);
     exchange?.settle(result);
   }
 }
--- a/packages/sidecar/src/connection/upstreamPool.ts
+++ b/packages/sidecar/src/connection/upstreamPool.ts
@@ -1,14 +1,21 @@
 /** Connections to the upstream that wait for their next request. */
+import {RESPONSE_BUFFER_BYTES} from '../constants.js';
 import type {Address} from '../types.js';
+import {ByteBudget} from './byteBudget.js';
 import {UpstreamConnection} from './upstreamConnection.js';
 
 /** Hands out the connection that was idle for the shortest time. */
 export class UpstreamPool {
   private idle: UpstreamConnection[] = [];
+  private readonly budget = new ByteBudget<UpstreamConnection>(
+    RESPONSE_BUFFER_BYTES,
+  );
 
   constructor(
     private readonly address: Address,
     private readonly readMs: () => number,
+    /** Called with bytes for which no request waits. */
+    private readonly handleUnasked: (message: string) => void,
   ) {}
 
   /** A connection that has not been idle for longer, or a new one. */
@@ -25,7 +32,9 @@
     return new UpstreamConnection({
       address: this.address,
       readMs: this.readMs,
+      budget: this.budget,
       handleIdle: (connection) => this.idle.push(connection),
+      handleUnasked: this.handleUnasked,
     });
   }
 
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -38,8 +38,16 @@
 export const UPSTREAM_IDLE_ONCE_MS = 250;
 /** Share of the announced keep-alive time for which a connection is reused. */
 export const KEEP_ALIVE_SHARE = 0.6;
-/** Largest response body of an upstream, bytes. */
-export const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+/**
+ * Bounds of what an upstream may send for one request, bytes. A body is copied
+ * on its way to the client, and a process has 350 MB.
+ */
+export const RESPONSE_LIMITS = {
+  maxBodyBytes: 32 * 1024 * 1024,
+  maxOtherBytes: 128 * 1024,
+} as const;
+/** Bytes of unfinished responses of all connections to the upstream. */
+export const RESPONSE_BUFFER_BYTES = 64 * 1024 * 1024;
 /** Connecting to the upstream on the same VM; a silent VM never answers. */
 export const UPSTREAM_CONNECT_TIMEOUT_MS = 600;
 /** Time for which an upstream counts as down after it refused a connection. */
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -43,6 +43,10 @@
   UPSTREAM_REFUSED = 'upstream-refused',
   CONNECTION_LOST = 'connection-lost',
   BAD_RESPONSE = 'bad-response',
+  /** The upstream sent more than one response may have. */
+  RESPONSE_TOO_LARGE = 'response-too-large',
+  /** Unfinished responses took too much memory together. */
+  MEMORY_FULL = 'memory-full',
   CANCELLED = 'cancelled',
   LINK_LOST = 'link-lost',
   NO_MEMBER = 'no-member',
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -108,11 +108,17 @@
   container
     .bind(TOKENS.presence)
     .toDynamicValue(() => new UpstreamPresence(getClock()));
-  container
-    .bind(TOKENS.pool)
-    .toDynamicValue(
-      () => new UpstreamPool(settings.upstream, () => getClock().readMs()),
-    );
+  container.bind(TOKENS.pool).toDynamicValue(
+    () =>
+      new UpstreamPool(
+        settings.upstream,
+        () => getClock().readMs(),
+        (message) => {
+          const {record} = container.get<DecisionLog>(TOKENS.log);
+          record(EventCode.MESSAGE_MALFORMED, {source: 'upstream', message});
+        },
+      ),
+  );
   return container;
 }
 
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -108,6 +108,7 @@
     'instance',
     'status',
     'reason',
+    'message: what was wrong with the connection or the response, if anything',
     'elapsedMs: ms',
     'running',
     'waiting',
