Send a request again when its connection took no byte of it

Cause: a kept connection that the upstream has reset refuses the first write. The request counted as lost all the same, so a booking was answered 502 although the upstream had never seen it.

Change: a first write that fails at once means that the request was not sent; the run sends it once more over a new connection. Only a connection that is not accepted marks the upstream as down; one that is reset before the first write is refused by the gate (connection-lost), and the origin may go elsewhere.

A reset after the write stays a loss, as before.

--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -42,7 +42,12 @@
       readonly headers: HeaderList;
       readonly body: Uint8Array;
     }
-  | {readonly end: ExchangeEnd.NOT_SENT; readonly message: string}
+  | {
+      readonly end: ExchangeEnd.NOT_SENT;
+      /** The upstream did not accept the connection. */
+      readonly isRefused: boolean;
+      readonly message: string;
+    }
   | {
       readonly end: ExchangeEnd.LOST;
       readonly reason: GateReason;
@@ -82,6 +87,8 @@
   private response: PartialResponse | undefined;
   private isConnected = false;
   private isClosed = false;
+  /** Whether bytes of the request may have reached the upstream. */
+  private isSent = false;
   private idleSinceMs = 0;
   private maxIdleMs = UPSTREAM_IDLE_MS;
 
@@ -113,10 +120,11 @@
     return new Promise((resolve) => {
       if (this.isClosed) {
         const message = 'connection was closed while idle';
-        resolve({end: ExchangeEnd.NOT_SENT, message});
+        resolve({end: ExchangeEnd.NOT_SENT, isRefused: false, message});
         return;
       }
       const bytes = {received: 0, body: 0};
+      this.isSent = false;
       this.exchange = {request, settle: resolve, bytes};
       if (this.isConnected) this.send();
     });
@@ -133,10 +141,11 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.socket.destroy();
+    const isRefused = !this.isConnected;
     this.settle(
-      this.isConnected
+      this.isSent
         ? {end: ExchangeEnd.LOST, reason, message}
-        : {end: ExchangeEnd.NOT_SENT, message},
+        : {end: ExchangeEnd.NOT_SENT, isRefused, message},
     );
   }
 
@@ -147,6 +156,10 @@
     this.socket.write(renderHead(request), 'latin1');
     if (request.body.length > 0) this.socket.write(request.body);
     this.socket.uncork();
+    // The first write is tried at once; when it fails, no byte was taken.
+    const {errored} = this.socket;
+    if (errored) this.close(errored.message);
+    else this.isSent = true;
   }
 
   private receive(chunk: Buffer): void {
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -45,23 +45,31 @@
 /** Least time that is worth handing to an upstream, ms. */
 const LEAST_LEFT_MS = 1;
 const INTERNAL_ERROR = 500;
+/** Idle time that no kept connection has. */
+const NEW_CONNECTION = 0;
 
 /** Runs one request; its handler is called once. */
 export class UpstreamRun {
   private connection: UpstreamConnection | undefined;
   private timer: NodeJS.Timeout | undefined;
   private isEnded = false;
+  private isSentAgain = false;
 
   constructor(private readonly parts: UpstreamRunParts) {}
 
   start(): void {
+    const {call, deadlineMs, readMs} = this.parts;
+    this.timer = setTimeout(
+      () => this.expire(),
+      Math.max(LEAST_LEFT_MS, deadlineMs - readMs()) + OVERTIME_MS,
+    );
+    this.send(call.isIdempotent ? UPSTREAM_IDLE_MS : UPSTREAM_IDLE_ONCE_MS);
+  }
+
+  private send(maxIdleMs: number): void {
     const {call, pool, deadlineMs, readMs} = this.parts;
     const leftMs = Math.max(LEAST_LEFT_MS, Math.floor(deadlineMs - readMs()));
-    const maxIdleMs = call.isIdempotent
-      ? UPSTREAM_IDLE_MS
-      : UPSTREAM_IDLE_ONCE_MS;
     this.connection = pool.take(maxIdleMs);
-    this.timer = setTimeout(() => this.expire(), leftMs + OVERTIME_MS);
     const headers = [...call.headers, ...this.buildAdditions(leftMs)];
     this.connection
       .run({
@@ -107,18 +115,30 @@
     if (exchange.end === ExchangeEnd.RESPONSE) {
       this.finishResponse(exchange.status, exchange.headers, exchange.body);
     } else if (exchange.end === ExchangeEnd.NOT_SENT) {
-      this.end(Completion.FAILED, {
-        result: createFailure(
-          SendEnd.REFUSED_BY_GATE,
-          GateReason.UPSTREAM_DOWN,
-        ),
-        isConnectionRefused: true,
-      });
+      this.finishUnsent(exchange.isRefused, exchange.message);
     } else {
       this.endLost(exchange.reason, exchange.message);
     }
   }
 
+  /** A kept connection that was reset says nothing about the upstream. */
+  private finishUnsent(isRefused: boolean, message: string): void {
+    if (this.isEnded) return;
+    if (!isRefused && !this.isSentAgain) {
+      this.isSentAgain = true;
+      this.send(NEW_CONNECTION);
+      return;
+    }
+    const reason = isRefused
+      ? GateReason.UPSTREAM_DOWN
+      : GateReason.CONNECTION_LOST;
+    this.end(Completion.FAILED, {
+      result: createFailure(SendEnd.REFUSED_BY_GATE, reason),
+      isConnectionRefused: isRefused,
+      message,
+    });
+  }
+
   private finishResponse(
     status: number,
     headers: HeaderList,
