--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -3,12 +3,15 @@
 import {connect} from 'node:net';
 import {
   KEEP_ALIVE_SHARE,
-  MAX_RESPONSE_BYTES,
+  RESPONSE_LIMITS,
   UPSTREAM_CONNECT_TIMEOUT_MS,
   UPSTREAM_IDLE_MS,
 } from '../constants.js';
 import type {Address, HeaderList} from '../types.js';
 import {GateReason} from '../types.js';
+import type {ByteBudget, ExchangeBytes} from './byteBudget.js';
+import {findExcess} from './byteBudget.js';
+import {ByteList} from './byteList.js';
 import {getHeader} from './headerList.js';
 import type {ResponseHead} from './responseParser.js';
 import {ResponseParser} from './responseParser.js';
@@ -39,7 +42,12 @@
       readonly headers: HeaderList;
       readonly body: Uint8Array;
     }
-  | {readonly end: ExchangeEnd.NOT_SENT; readonly message: string}
+  | {
+      readonly end: ExchangeEnd.NOT_SENT;
+      /** The upstream did not accept the connection. */
+      readonly isRefused: boolean;
+      readonly message: string;
+    }
   | {
       readonly end: ExchangeEnd.LOST;
       readonly reason: GateReason;
@@ -49,20 +57,24 @@
 interface RunningExchange {
   readonly request: UpstreamRequest;
   readonly settle: (result: ExchangeResult) => void;
+  readonly bytes: ExchangeBytes;
 }
 
 interface PartialResponse extends ResponseHead {
   readonly isOwn: boolean;
-  readonly chunks: Buffer[];
-  size: number;
+  readonly body: ByteList;
 }
 
 /** What a connection needs of the pool that it belongs to. */
 export interface ConnectionParts {
   readonly address: Address;
   readonly readMs: () => number;
+  /** Bytes of unfinished responses, of all connections together. */
+  readonly budget: ByteBudget<UpstreamConnection>;
   /** Called when the connection can take another request. */
   readonly handleIdle: (connection: UpstreamConnection) => void;
+  /** Called with bytes for which no request waits. */
+  readonly handleUnasked: (message: string) => void;
 }
 
 const NO_BODY_STATUSES = new Set([204, 304]);
@@ -75,6 +87,8 @@
   private response: PartialResponse | undefined;
   private isConnected = false;
   private isClosed = false;
+  /** Whether bytes of the request may have reached the upstream. */
+  private isSent = false;
   private idleSinceMs = 0;
   private maxIdleMs = UPSTREAM_IDLE_MS;
 
@@ -106,10 +120,12 @@
     return new Promise((resolve) => {
       if (this.isClosed) {
         const message = 'connection was closed while idle';
-        resolve({end: ExchangeEnd.NOT_SENT, message});
+        resolve({end: ExchangeEnd.NOT_SENT, isRefused: false, message});
         return;
       }
-      this.exchange = {request, settle: resolve};
+      const bytes = {received: 0, body: 0};
+      this.isSent = false;
+      this.exchange = {request, settle: resolve, bytes};
       if (this.isConnected) this.send();
     });
   }
@@ -125,10 +141,11 @@
     if (this.isClosed) return;
     this.isClosed = true;
     this.socket.destroy();
+    const isRefused = !this.isConnected;
     this.settle(
-      this.isConnected
+      this.isSent
         ? {end: ExchangeEnd.LOST, reason, message}
-        : {end: ExchangeEnd.NOT_SENT, message},
+        : {end: ExchangeEnd.NOT_SENT, isRefused, message},
     );
   }
 
@@ -139,14 +156,34 @@
     this.socket.write(renderHead(request), 'latin1');
     if (request.body.length > 0) this.socket.write(request.body);
     this.socket.uncork();
+    // The first write is tried at once; when it fails, no byte was taken.
+    const {errored} = this.socket;
+    if (errored) this.close(errored.message);
+    else this.isSent = true;
   }
 
   private receive(chunk: Buffer): void {
     if (this.isClosed) return;
+    const bytes = this.exchange?.bytes;
+    if (!bytes) {
+      const message = 'upstream sent bytes that no request waits for';
+      this.parts.handleUnasked(message);
+      this.close(message);
+      return;
+    }
+    bytes.received += chunk.length;
     const error = this.parser.add(chunk);
-    if (!error) return;
-    const message = `upstream sent no valid response: ${error.message}`;
-    this.close(message, GateReason.BAD_RESPONSE);
+    if (!this.exchange) return;
+    this.checkBytes(bytes);
+    if (error) {
+      const message = `upstream sent no valid response: ${error.message}`;
+      this.close(message, GateReason.BAD_RESPONSE);
+    }
+  }
+
+  private checkBytes(bytes: ExchangeBytes): void {
+    const excess = findExcess(bytes, RESPONSE_LIMITS);
+    if (excess) this.close(excess, GateReason.RESPONSE_TOO_LARGE);
   }
 
   /**
@@ -168,25 +205,31 @@
   /** Says whether a body may follow. */
   private startResponse(head: ResponseHead): boolean {
     const {request} = this.exchange ?? {};
-    if (!request) {
-      this.close('upstream sent a response that nobody waits for');
-      return false;
-    }
+    if (!request) return false;
     const {status, headers} = head;
     const isOwn = status >= 200 && request.isOwnResponse(status, headers);
-    this.response = {...head, isOwn, chunks: [], size: 0};
-    return request.method !== 'HEAD' && !NO_BODY_STATUSES.has(status);
+    this.response = {...head, isOwn, body: new ByteList()};
+    const length = Number(getHeader(headers, 'content-length') ?? 0);
+    if (request.method === 'HEAD' || NO_BODY_STATUSES.has(status)) return false;
+    if (length > RESPONSE_LIMITS.maxBodyBytes) {
+      const message = `upstream announced a body of ${length} bytes`;
+      this.close(message, GateReason.RESPONSE_TOO_LARGE);
+    }
+    return true;
   }
 
   private addBody(piece: Buffer): void {
-    const {response} = this;
-    if (!response) return;
-    response.size += piece.length;
-    if (response.size > MAX_RESPONSE_BYTES) {
-      this.close('response body is too large');
-      return;
-    }
-    response.chunks.push(piece);
+    const {response, exchange} = this;
+    if (!response || !exchange) return;
+    exchange.bytes.body += piece.length;
+    this.checkBytes(exchange.bytes);
+    if (!response.isOwn || this.isClosed) return;
+    response.body.add(piece);
+    const largest = this.parts.budget.reserve(this, piece.length);
+    largest?.close(
+      'responses that arrive together are too large',
+      GateReason.MEMORY_FULL,
+    );
   }
 
   private finishResponse(): void {
@@ -194,7 +237,7 @@
     this.response = undefined;
     if (!response?.isOwn || !this.exchange) return;
     const {status, headers, isKeptAlive} = response;
-    const body = Buffer.concat(response.chunks);
+    const body = response.body.join();
     this.maxIdleMs = readIdleMs(headers);
     this.idleSinceMs = this.parts.readMs();
     const isFlushed = this.socket.writableLength === 0;
@@ -210,6 +253,7 @@
     const {exchange} = this;
     this.exchange = undefined;
     this.response = undefined;
+    this.parts.budget.release(this);
     exchange?.settle(result);
   }
 }
--- a/packages/sidecar/src/process/upstreamTask.test.ts
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -30,7 +30,12 @@
     },
     presence: new UpstreamPresence(systemClock),
     callParents: new CallParents(),
-    pool: new UpstreamPool({host: HOST, port}, () => systemClock.readMs()),
+    pool: new UpstreamPool(
+      {host: HOST, port},
+      () => systemClock.readMs(),
+      () => undefined,
+    ),
+    hasTimeFor: () => true,
     parameters: GOODPUT_PARAMETERS,
     report: () => undefined,
     record: () => undefined,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -80,14 +80,13 @@
    * Stops taking new clients, answers what is in flight, then closes. Clients
    * notice the missing readiness after two checks, so listeners stay open.
    */
-  stop(signal: string): Promise<void> {
-    this.stopping ??= this.runStop(signal);
+  stop(signal: string, startedMs = this.parts.clock.readMs()): Promise<void> {
+    this.stopping ??= this.runStop(signal, startedMs);
     return this.stopping;
   }
 
-  private async runStop(signal: string): Promise<void> {
+  private async runStop(signal: string, startedMs: number): Promise<void> {
     const {parts} = this;
-    const startedMs = parts.clock.readMs();
     const schedule = new StopSchedule(startedMs, parts.settings.graceMs);
     parts.lifecycle.stop = schedule;
     parts.record(EventCode.NODE_LEAVING, {cause: signal});
--- a/packages/sycamoreyoke/src/process/stopSchedule.ts
+++ b/packages/sycamoreyoke/src/process/stopSchedule.ts
@@ -9,8 +9,8 @@
 const TAKE_SHARE = 0.48;
 /** Part after which requests that still run are answered as unknown. */
 const ANSWER_SHARE = 11 / 12;
-/** Part after which the process exits; the rest covers delayed timers. */
-const EXIT_SHARE = 23 / 24;
+/** Part after which connections are closed; the rest covers delayed timers. */
+const EXIT_SHARE = 15 / 16;
 /** Part kept for the answers of requests when calls of the upstream end. */
 const REPLY_SHARE = 1 / 4;
 
