--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -39,6 +39,7 @@
   FleetStore,
   NodeRecord,
   NodeReport,
+  SidecarBounds,
   SidecarSettings,
   WireProtocol,
 } from './types.js';
@@ -56,7 +57,9 @@
 
 /** The parts of a sidecar that its process and its adapter use. */
 export interface SidecarParts {
+  /** Its bounds follow `applyBounds`, so they are read at each use. */
   readonly settings: SidecarSettings;
+  readonly applyBounds: (bounds: SidecarBounds) => void;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly record: EventRecorder;
@@ -122,7 +125,8 @@
 
 /** Builds the tasks and connects their messages. */
 export function buildSidecar(adapter: SidecarAdapter): SidecarParts {
-  const {settings, wire, store} = adapter;
+  const {wire, store} = adapter;
+  const settings = {...adapter.settings};
   const container = createContainer(settings);
   const clock = container.get<Clock>(TOKENS.clock);
   const metrics = container.get<Metrics>(TOKENS.metrics);
@@ -151,12 +155,16 @@
   });
   const upstream: UpstreamTask = new UpstreamTask({
     service: settings.service,
-    drainMs: settings.drainMs,
+    get drainMs() {
+      return settings.drainMs;
+    },
     clock,
     wire,
     presence: container.get<UpstreamPresence>(TOKENS.presence),
     callParents: new CallParents(),
     pool: container.get<UpstreamPool>(TOKENS.pool),
+    hasTimeFor: (deadlineMs) =>
+      lifecycle.stop?.hasTimeFor(clock.readMs(), deadlineMs) ?? true,
     parameters: {
       ...GOODPUT_PARAMETERS,
       queueLimit: GATE_QUEUE_LIMIT,
@@ -253,7 +261,14 @@
     if (known) return known;
     const budget = createRetryAllowance(
       clock,
-      settings.retryBudget,
+      {
+        get share() {
+          return settings.retryBudget.share;
+        },
+        get slack() {
+          return settings.retryBudget.slack;
+        },
+      },
       countNodes,
     );
     budgets.set(service, budget);
@@ -271,6 +286,7 @@
     readTable: () => configuration.read()?.table,
     readBudget,
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
+    readStop: () => lifecycle.stop,
   });
   const clients = new ClientListener(
     {record, metrics, isStopping: () => lifecycle.stop !== undefined},
@@ -284,6 +300,9 @@
   metrics.watch('log_lines_dropped', () => log.countDropped());
   return {
     settings,
+    applyBounds: ({graceMs, drainMs, retryBudget}) => {
+      Object.assign(settings, {graceMs, drainMs, retryBudget});
+    },
     clock,
     log,
     record,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -42,6 +42,8 @@
   [EventCode.SETTINGS_RELOADED]: describe(
     'The settings file was read again.',
     'changed: settings that differ',
+    'applied: those in force from now on',
+    'needsRestart: those that take effect at the next start',
     'cause',
   ),
   [EventCode.REQUEST_ADMITTED]: describe(
@@ -201,6 +203,12 @@
     'The row of this node could not be written to the store.',
     'message',
   ),
+  [EventCode.LINK_CLOSING]: describe(
+    'A node closed its link; calls without a result by then have not run.',
+    'node',
+    'service',
+    'calls',
+  ),
   [EventCode.CONFIGURATION_ADOPTED]: describe(
     'A newer configuration is in force.',
     'version',
