--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -65,12 +65,15 @@
 /** Keeps a link to each node that is called. */
 export class PeerTask {
   private readonly links = new Map<string, PeerLink>();
+  /** Links that are closed once their last call has ended. */
+  private readonly retired = new Set<PeerLink>();
   private linksByService: ReadonlyMap<string, readonly PeerLink[]> = new Map();
   /** Mean time of each kind of request, by node. */
   private readonly times = new Map<string, Map<string, number>>();
   private localAvoidedUntilMs = 0;
   private nodes: readonly NodeRecord[] = [];
   private updateTimer: NodeJS.Timeout | undefined;
+  private isStopped = false;
 
   private readonly timer: NodeJS.Timeout;
 
@@ -81,6 +84,7 @@
   /** Follows the list of nodes; changes in quick succession are one update. */
   update(nodes: readonly NodeRecord[]): void {
     this.nodes = nodes;
+    if (this.isStopped) return;
     this.updateTimer ??= setTimeout(() => {
       this.updateTimer = undefined;
       this.applyNodes(this.nodes);
@@ -153,14 +157,20 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     clearInterval(this.timer);
     clearTimeout(this.updateTimer);
-    for (const link of this.links.values()) link.stop();
+    for (const link of [...this.links.values(), ...this.retired]) link.stop();
     this.links.clear();
+    this.retired.clear();
   }
 
   private tick(): void {
     for (const link of this.links.values()) link.tick();
+    for (const link of this.retired) {
+      link.tick();
+      if (link.isEnded()) this.retired.delete(link);
+    }
   }
 
   private listCandidates(
@@ -222,6 +232,7 @@
 
   private close(name: string, link: PeerLink): void {
     link.retire();
+    if (!link.isEnded()) this.retired.add(link);
     this.links.delete(name);
     this.times.delete(name);
   }
@@ -261,6 +272,13 @@
         message,
       });
     },
+    handleClosing: (link, calls) => {
+      this.parts.record(EventCode.LINK_CLOSING, {
+        node: link.node.node,
+        service: link.node.service,
+        calls,
+      });
+    },
   };
 }
 
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -45,7 +45,10 @@
   BAD_RESPONSE = 'bad-response',
   CANCELLED = 'cancelled',
   LINK_LOST = 'link-lost',
+  /** The node closes its links; the call has not run and will not. */
+  LINK_CLOSING = 'link-closing',
   NO_MEMBER = 'no-member',
+  NODE_STOPPING = 'node-stopping',
 }
 
 /** How a call at a gate ended. */
@@ -162,17 +165,8 @@
   readonly load: UpstreamLoad;
 }
 
-/** Settings of a sidecar, whatever their source. */
-export interface SidecarSettings {
-  readonly node: string;
-  readonly service: string;
-  readonly dataCentre: string;
-  readonly ip: string;
-  readonly peerPort: number;
-  readonly metricsPort: number | undefined;
-  readonly outbound: Address;
-  readonly ready: Address;
-  readonly upstream: Address;
+/** Settings that a running sidecar takes over. */
+export interface SidecarBounds {
   /** Time from SIGTERM to SIGKILL, ms. */
   readonly graceMs: number;
   /** Time in which a draining upstream must stop getting requests, ms. */
@@ -184,3 +178,16 @@
     readonly slack: number;
   };
 }
+
+/** Settings of a sidecar, whatever their source. */
+export interface SidecarSettings extends SidecarBounds {
+  readonly node: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly ip: string;
+  readonly peerPort: number;
+  readonly metricsPort: number | undefined;
+  readonly outbound: Address;
+  readonly ready: Address;
+  readonly upstream: Address;
+}
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -14,11 +14,13 @@
 import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {createRetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {isStarted} from 'sycamoreyoke/process/startPhase';
+import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
 import {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Random} from 'sycamoreyoke/random';
 import {createRandom} from 'sycamoreyoke/random';
 import {CallParents} from 'sycamoreyoke/process/callParents';
+import {ClientListener} from './connection/clientListener.js';
 import {PeerServer} from './connection/peerServer.js';
 import {UpstreamPool} from './connection/upstreamPool.js';
 import {GATE_QUEUE_LIMIT, NODES_PAUSE_MS, UNLISTED_NODES} from './constants.js';
@@ -37,6 +39,7 @@
   FleetStore,
   NodeRecord,
   NodeReport,
+  SidecarBounds,
   SidecarSettings,
   WireProtocol,
 } from './types.js';
@@ -54,13 +57,16 @@
 
 /** The parts of a sidecar that its process and its adapter use. */
 export interface SidecarParts {
+  /** Its bounds follow `applyBounds`, so they are read at each use. */
   readonly settings: SidecarSettings;
+  readonly applyBounds: (bounds: SidecarBounds) => void;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly record: EventRecorder;
   readonly metrics: Metrics;
   readonly upstream: UpstreamTask;
   readonly origin: OriginHandler;
+  readonly clients: ClientListener;
   readonly peers: PeerTask;
   readonly peerServer: PeerServer;
   readonly fleet: FleetTask;
@@ -73,7 +79,8 @@
 
 /** State of the process that its listeners consult. */
 export interface SidecarLifecycle {
-  isStopping: boolean;
+  /** Present once the process stops. */
+  stop: StopSchedule | undefined;
   /** Called when another version is in force. */
   handleConfiguration: () => void;
 }
@@ -118,14 +125,15 @@
 
 /** Builds the tasks and connects their messages. */
 export function buildSidecar(adapter: SidecarAdapter): SidecarParts {
-  const {settings, wire, store} = adapter;
+  const {wire, store} = adapter;
+  const settings = {...adapter.settings};
   const container = createContainer(settings);
   const clock = container.get<Clock>(TOKENS.clock);
   const metrics = container.get<Metrics>(TOKENS.metrics);
   const log = container.get<DecisionLog>(TOKENS.log);
   const {record} = log;
   const lifecycle: SidecarLifecycle = {
-    isStopping: false,
+    stop: undefined,
     handleConfiguration: () => undefined,
   };
   const report: InvariantReporter = (invariant, detail) => {
@@ -147,12 +155,16 @@
   });
   const upstream: UpstreamTask = new UpstreamTask({
     service: settings.service,
-    drainMs: settings.drainMs,
+    get drainMs() {
+      return settings.drainMs;
+    },
     clock,
     wire,
     presence: container.get<UpstreamPresence>(TOKENS.presence),
     callParents: new CallParents(),
     pool: container.get<UpstreamPool>(TOKENS.pool),
+    hasTimeFor: (deadlineMs) =>
+      lifecycle.stop?.hasTimeFor(clock.readMs(), deadlineMs) ?? true,
     parameters: {
       ...GOODPUT_PARAMETERS,
       queueLimit: GATE_QUEUE_LIMIT,
@@ -180,7 +192,7 @@
     return {
       ...load,
       isAvailable: load.isAvailable && hasStarted,
-      isDraining: load.isDraining || lifecycle.isStopping,
+      isDraining: load.isDraining || lifecycle.stop !== undefined,
     };
   };
   const describeReport = (): NodeReport => ({
@@ -249,7 +261,14 @@
     if (known) return known;
     const budget = createRetryAllowance(
       clock,
-      settings.retryBudget,
+      {
+        get share() {
+          return settings.retryBudget.share;
+        },
+        get slack() {
+          return settings.retryBudget.slack;
+        },
+      },
       countNodes,
     );
     budgets.set(service, budget);
@@ -267,8 +286,12 @@
     readTable: () => configuration.read()?.table,
     readBudget,
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
-    isStopping: () => lifecycle.isStopping,
+    readStop: () => lifecycle.stop,
   });
+  const clients = new ClientListener(
+    {record, metrics, isStopping: () => lifecycle.stop !== undefined},
+    (exchange) => origin.handle(exchange),
+  );
   metrics.watch('gate_running', () => upstream.describeLoad().running);
   metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
   metrics.watch('gate_limit', () => upstream.describeLoad().limit);
@@ -277,12 +300,16 @@
   metrics.watch('log_lines_dropped', () => log.countDropped());
   return {
     settings,
+    applyBounds: ({graceMs, drainMs, retryBudget}) => {
+      Object.assign(settings, {graceMs, drainMs, retryBudget});
+    },
     clock,
     log,
     record,
     metrics,
     upstream,
     origin,
+    clients,
     peers,
     peerServer,
     fleet,
