Read what has arrived before an idle connection ends

Cause: the stop ends idle connections from a timer. After a stall of the event loop the bytes of a request are in the kernel at that time, but only the next poll reads them; by then the connection has ended and takes no request. The idle timeout takes the same path.

Change: the decision is made after the next poll.

--- a/packages/sidecar/src/connection/clientConnection.ts
+++ b/packages/sidecar/src/connection/clientConnection.ts
@@ -66,9 +66,12 @@
     return this.exchanges.length;
   }
 
-  /** Ends the connection unless a request is open on it. */
+  /** Ends the connection unless a request is open on it or has arrived. */
   endIfIdle(): void {
-    if (this.exchanges.length === 0) this.end();
+    // Bytes that have arrived meanwhile are read before the decision.
+    setImmediate(() => {
+      if (this.exchanges.length === 0) this.end();
+    });
   }
 
   /** Answers bytes that are no request, after the requests before them. */
--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -124,3 +124,19 @@
   expect(ends).to.deep.equal(['end']);
   closeHarness(harness);
 });
+
+// Guards against a connection that is taken for idle although its next request
+// has arrived and only waits to be read.
+it('request that has arrived is read before its connection ends', async () => {
+  const harness = await openHarness();
+  harness.client.write(REQUEST);
+  await waitUntil(() => harness.exchanges.length === 1);
+  harness.exchanges[0]?.answer({status: 200, headers: [], body: BODY});
+  await waitUntil(() => harness.read().endsWith('whole'));
+  harness.client.write(REQUEST);
+  harness.listener.endIdle();
+  await waitUntil(() => harness.exchanges.length === 2);
+  harness.exchanges[1]?.answer({status: 201, headers: [], body: BODY});
+  await waitUntil(() => harness.read().includes('201'));
+  closeHarness(harness);
+});
