Bound the unfinished frames of all links together

Cause: each link could hold 80 MB of a frame that never ends, and small pieces cost more memory than their length.

Change: unfinished frames of all links, dialled and accepted, share 128 MiB. The link with most is closed, so that the others and the process go on. Pieces are kept in a ByteList.

--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -13,6 +13,8 @@
   NodeReport,
   OutgoingCall,
 } from '../types.js';
+import type {ByteBudget} from './byteBudget.js';
+import {ByteList} from './byteList.js';
 
 export enum FrameKind {
   HELLO = 1,
@@ -68,25 +70,34 @@
 /** A peer that does not speak the protocol. */
 export class FrameError extends SycamoreyokeError {}
 
+/** What a reader of frames needs of its link. */
+export interface FrameReaderParts {
+  readonly handle: (frame: Frame) => void;
+  /** Bytes of unfinished frames, of all links together. */
+  readonly budget: ByteBudget<FrameReader>;
+  /** Called when the link has to close for the sake of the others. */
+  readonly handleExcess: (message: string) => void;
+}
+
 /** Cuts a stream of bytes into frames. */
 export class FrameReader {
-  private chunks: Buffer[] = [];
-  private size = 0;
+  private bytes = new ByteList();
   private wanted = LENGTH_BYTES;
   private isInContent = false;
+  private isClosed = false;
 
-  constructor(private readonly handle: (frame: Frame) => void) {}
+  constructor(private readonly parts: FrameReaderParts) {}
 
   /** Takes bytes in and hands on each frame that is complete. */
   add(chunk: Buffer): void {
-    this.chunks.push(chunk);
-    this.size += chunk.length;
-    while (this.size >= this.wanted) {
+    if (this.isClosed) return;
+    this.bytes.add(chunk);
+    while (this.bytes.readLength() >= this.wanted) {
       const part = this.take(this.wanted);
       if (this.isInContent) {
         this.isInContent = false;
         this.wanted = LENGTH_BYTES;
-        this.handle(decodeFrame(part));
+        this.parts.handle(decodeFrame(part));
       } else {
         this.wanted = part.readUInt32BE(0);
         this.isInContent = true;
@@ -95,16 +106,33 @@
         }
       }
     }
+    this.reserveBytes();
+  }
+
+  /** Gives the bytes of an unfinished frame up. */
+  close(): void {
+    this.isClosed = true;
+    this.bytes = new ByteList();
+    this.parts.budget.release(this);
+  }
+
+  private reserveBytes(): void {
+    const {budget} = this.parts;
+    budget.release(this);
+    const length = this.bytes.readLength();
+    if (length === 0 || this.isClosed) return;
+    budget.reserve(this, length)?.closeForOthers();
+  }
+
+  private closeForOthers(): void {
+    this.close();
+    this.parts.handleExcess('unfinished frames are too large together');
   }
 
   private take(length: number): Buffer {
-    const [first] = this.chunks;
-    const whole =
-      first && first.length >= length ? first : Buffer.concat(this.chunks);
-    const rest = whole.subarray(length);
-    const others = whole === first ? this.chunks.slice(1) : [];
-    this.chunks = rest.length > 0 ? [rest, ...others] : others;
-    this.size -= length;
+    const whole = this.bytes.join();
+    this.bytes = new ByteList();
+    if (whole.length > length) this.bytes.add(whole.subarray(length));
     return whole.subarray(0, length);
   }
 }
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -21,6 +21,7 @@
   ResultHandler,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import type {ByteBudget} from './byteBudget.js';
 import type {Frame} from './peerFrames.js';
 import {FrameKind, FrameReader, sendFrame} from './peerFrames.js';
 
@@ -70,6 +71,8 @@
     readonly node: NodeRecord,
     private readonly clock: Clock,
     private readonly events: LinkEvents,
+    /** Bytes of unfinished frames, of all links together. */
+    private readonly frameBudget: ByteBudget<FrameReader>,
   ) {
     this.lostMs = clock.readMs();
     this.dial();
@@ -122,7 +125,11 @@
     this.socket = socket;
     this.heardMs = this.clock.readMs();
     socket.setNoDelay(true);
-    const reader = new FrameReader((frame) => this.receive(frame));
+    const reader = new FrameReader({
+      handle: (frame) => this.receive(frame),
+      budget: this.frameBudget,
+      handleExcess: (message) => this.disconnect(message),
+    });
     socket.on('connect', () => {
       sendFrame(socket, {kind: FrameKind.HELLO, ...this.events.describeSelf()});
     });
@@ -134,7 +141,10 @@
       }
     });
     socket.on('error', (error) => this.handleEnd(socket, error.message));
-    socket.on('close', () => this.handleEnd(socket, 'connection closed'));
+    socket.on('close', () => {
+      reader.close();
+      this.handleEnd(socket, 'connection closed');
+    });
   }
 
   /**
--- a/packages/sidecar/src/connection/peerServer.ts
+++ b/packages/sidecar/src/connection/peerServer.ts
@@ -10,6 +10,7 @@
   PendingCall,
   ResultHandler,
 } from '../types.js';
+import type {ByteBudget} from './byteBudget.js';
 import type {Frame} from './peerFrames.js';
 import {FrameKind, FrameReader, sendFrame} from './peerFrames.js';
 
@@ -23,6 +24,8 @@
   readonly readConfiguration: () => Uint8Array | undefined;
   readonly listNodes: () => readonly NodeRecord[];
   readonly handleFault: (message: string) => void;
+  /** Bytes of unfinished frames, of all links together. */
+  readonly frameBudget: ByteBudget<FrameReader>;
 }
 
 /** Sends a frame over a link that is open. */
@@ -66,9 +69,14 @@
     this.sockets.add(socket);
     socket.setTimeout(ACCEPTED_SILENCE_MS, () => socket.destroy());
     const running = new Map<number, PendingCall>();
-    const reader = new FrameReader((frame) =>
-      this.receive(socket, running, frame),
-    );
+    const reader = new FrameReader({
+      handle: (frame) => this.receive(socket, running, frame),
+      budget: this.parts.frameBudget,
+      handleExcess: (message) => {
+        this.parts.handleFault(message);
+        socket.destroy();
+      },
+    });
     socket.on('data', (chunk) => {
       try {
         reader.add(chunk);
@@ -82,6 +90,7 @@
     });
     socket.on('close', () => {
       this.sockets.delete(socket);
+      reader.close();
       for (const call of running.values()) call.cancel();
     });
   }
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -30,6 +30,8 @@
 export const LINK_BOUNDS = {total: 10, local: 6} as const;
 /** Largest frame between nodes: the largest body and its headers, bytes. */
 export const MAX_FRAME_BYTES = 80 * 1024 * 1024;
+/** Bytes of unfinished frames of all links; a process has 350 MB. */
+export const FRAME_BUFFER_BYTES = 128 * 1024 * 1024;
 
 /** Idle time after which a connection to the upstream is not used again. */
 export const UPSTREAM_IDLE_MS = 4_000;
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -7,7 +7,8 @@
   UpstreamLoad,
 } from 'sycamoreyoke/process/placement';
 import {choosePlacement} from 'sycamoreyoke/process/placement';
-import type {Frame} from '../connection/peerFrames.js';
+import type {ByteBudget} from '../connection/byteBudget.js';
+import type {Frame, FrameReader} from '../connection/peerFrames.js';
 import {FrameKind} from '../connection/peerFrames.js';
 import type {LinkEvents} from '../connection/peerLink.js';
 import {PeerLink} from '../connection/peerLink.js';
@@ -47,6 +48,8 @@
   readonly handleReplaced: (node: NodeRecord) => void;
   /** Whether the node list has to come from peers now. */
   readonly needsNodes: () => boolean;
+  /** Bytes of unfinished frames, of all links together. */
+  readonly frameBudget: ByteBudget<FrameReader>;
 }
 
 /** A node that was chosen for a call. */
@@ -97,7 +100,9 @@
       else this.close(name, link);
     }
     for (const [name, node] of wanted) {
-      this.links.set(name, new PeerLink(node, this.parts.clock, this.events));
+      const {clock, frameBudget} = this.parts;
+      const link = new PeerLink(node, clock, this.events, frameBudget);
+      this.links.set(name, link);
     }
     this.linksByService = collectByService(
       this.links.values(),
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -19,9 +19,16 @@
 import type {Random} from 'sycamoreyoke/random';
 import {createRandom} from 'sycamoreyoke/random';
 import {CallParents} from 'sycamoreyoke/process/callParents';
+import {ByteBudget} from './connection/byteBudget.js';
+import type {FrameReader} from './connection/peerFrames.js';
 import {PeerServer} from './connection/peerServer.js';
 import {UpstreamPool} from './connection/upstreamPool.js';
-import {GATE_QUEUE_LIMIT, NODES_PAUSE_MS, UNLISTED_NODES} from './constants.js';
+import {
+  FRAME_BUFFER_BYTES,
+  GATE_QUEUE_LIMIT,
+  NODES_PAUSE_MS,
+  UNLISTED_NODES,
+} from './constants.js';
 import {
   ConfigurationSource,
   ConfigurationTask,
@@ -193,6 +200,7 @@
     configurationVersion: configuration.readVersion(),
     load: describeOwnLoad(),
   });
+  const frameBudget = new ByteBudget<FrameReader>(FRAME_BUFFER_BYTES);
   const peers: PeerTask = new PeerTask({
     self,
     clock,
@@ -206,6 +214,7 @@
     handleNode: (node) => fleet.handleNode(node),
     handleReplaced: (node) => fleet.removeNode(node),
     needsNodes: () => !nodeFollower.hasContact(),
+    frameBudget,
   });
   const fleet: FleetTask = new FleetTask({
     self,
@@ -227,6 +236,7 @@
     listNodes: () => fleet.list(),
     handleFault: (message) =>
       record(EventCode.MESSAGE_MALFORMED, {source: 'peer', message}),
+    frameBudget,
   });
   const configurationFollower = new StoreFollower({
     store,
