--- a/packages/sidecar/src/connection/linkClose.test.ts
+++ b/packages/sidecar/src/connection/linkClose.test.ts
@@ -9,6 +9,7 @@
   HOST,
   REPORT,
   createCall,
+  createFrameReader,
   createNode,
   createResponse,
   openLink,
@@ -19,12 +20,7 @@
   waitFor,
 } from './linkTesting.js';
 import type {Frame} from './peerFrames.js';
-import {
-  FRAME_REVISION,
-  FrameKind,
-  FrameReader,
-  encodeFrame,
-} from './peerFrames.js';
+import {FRAME_REVISION, FrameKind, encodeFrame} from './peerFrames.js';
 
 const LARGE_BYTES = 8 * 1024 * 1024;
 const CLOSE_MS = 5_000;
@@ -78,7 +74,7 @@
   /** Collects the frames of a socket until it ends. */
   function collectFrames(socket: Socket): Frame[] {
     const frames: Frame[] = [];
-    const reader = new FrameReader((frame) => frames.push(frame));
+    const reader = createFrameReader((frame) => frames.push(frame));
     socket.on('data', (chunk) => reader.add(chunk));
     socket.on('error', () => undefined);
     return frames;
@@ -286,7 +282,7 @@
   // the links of the older one.
   it('unknown kind of frame is passed over', () => {
     const frames: Frame[] = [];
-    const reader = new FrameReader((frame) => frames.push(frame));
+    const reader = createFrameReader((frame) => frames.push(frame));
     const content = new Packr({useRecords: false}).pack([UNKNOWN_KIND, 'x']);
     const length = Buffer.alloc(4);
     length.writeUInt32BE(content.length);
