--- a/packages/node/src/process/adminServer.ts
+++ b/packages/node/src/process/adminServer.ts
@@ -3,6 +3,7 @@
 import express from 'express';
 import type {TimelineEvent} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
+import {watchConnections} from './listeners.js';
 
 /** What the interface shows. */
 export interface AdminParts {
@@ -24,6 +25,7 @@
       if (error) reject(error);
       else resolve(server);
     });
+    watchConnections(server);
   });
 }
 
--- a/packages/node/src/startNode.ts
+++ b/packages/node/src/startNode.ts
@@ -93,7 +93,9 @@
   const {record} = container.get(PARTS.events);
   const startMs = clock.readMs();
   const {publicCalls, peerCalls, localCalls, admin, control} = listeners;
-  await Promise.all([publicCalls, peerCalls, localCalls].map(closeListener));
+  await Promise.all(
+    [publicCalls, peerCalls, localCalls].map((each) => closeListener(each)),
+  );
   node.pauses.stop();
   node.membership.stop();
   node.configuration.stop();
