Join further signals to the stop of a node

Cause: the node command handled SIGTERM and SIGINT once, and only after the start. A second signal, a SIGHUP, or one during the start ended the process with the default action and cut what ran.

Change: SIGTERM, SIGINT and SIGHUP are handled from the start of the command on, each time; all of them lead to the one stop.

Measured, new tests on the code before: a booking that ran ended as unknown after a second signal, and a node that was starting ended by the signal instead of with 0. Both tests pass now.

--- a/packages/bench/src/signals.test.ts
+++ b/packages/bench/src/signals.test.ts
@@ -45,6 +45,16 @@
   throw new Error(`request "${requestId}" runs on no upstream`);
 }
 
+/** Waits until the listeners of a node are open. */
+async function waitForAnswer(seat: Seat): Promise<void> {
+  for (let reads = 0; reads < MAX_READS; reads += 1) {
+    const url = `http://127.0.0.1:${seat.adminPort}/healthz`;
+    if ((await fetch(url).catch(() => undefined))?.ok) return;
+    await wait(10);
+  }
+  throw new Error(`node "${seat.node}" opens no listener`);
+}
+
 function sendBooking(requestId: string, timeoutMs = 5_000) {
   return caller.send({requestClass: 'book-resole', requestId, timeoutMs});
 }
@@ -78,6 +88,39 @@
     await agent.close();
   });
 
+  // Guards against a stop that a further signal cuts short.
+  it('further signals during a stop of a node cut nothing', async () => {
+    const sending = sendBooking('signalled');
+    const seat = await findSeat('signalled');
+    const stopping = fleet.launcher.stop(seat.node);
+    await wait(100);
+    for (const signal of ['SIGTERM', 'SIGHUP', 'SIGINT'] as const) {
+      fleet.launcher.send(seat.node, signal);
+    }
+    const code = await stopping;
+    expect((await sending).outcome).to.equal(Outcome.DONE);
+    expect(code).to.equal(0);
+    expect(await countRuns('signalled')).to.equal(1);
+    await fleet.startNode(seat);
+    await fleet.waitForReady(20_000);
+  });
+
+  // Guards against a signal that ends a node which is starting.
+  it('signal during the start of a node ends it in order', async () => {
+    const [seat] = fleet.seats as [Seat];
+    await fleet.launcher.stop(seat.node);
+    for (const signal of ['SIGTERM', 'SIGHUP', 'SIGINT'] as const) {
+      const starting = fleet.startNode(seat).catch(() => undefined);
+      const ending = fleet.launcher.wait(seat.node);
+      await waitForAnswer(seat);
+      fleet.launcher.send(seat.node, signal);
+      expect(await ending, signal).to.equal(0);
+      await starting;
+    }
+    await fleet.startNode(seat);
+    await fleet.waitForReady(20_000);
+  });
+
   // Guards against a second run when a caller resends to a paused node: half of
   // the 3 s limit passes while the node is frozen, so the caller sends again.
   it('booking on a paused node runs once', async () => {
--- a/packages/cli/src/commands/node.ts
+++ b/packages/cli/src/commands/node.ts
@@ -3,6 +3,9 @@
 import {printReady} from '../ready.js';
 import {createSettingsCommand} from '../settingsCommand.js';
 
+/** SIGHUP too: settings come from flags, so there is nothing to read again. */
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+
 /** Runs the node beside an upstream until SIGTERM. */
 export const nodeCommand = createSettingsCommand({
   name: 'node',
@@ -12,9 +15,11 @@
   ],
   schema: nodeSettingsSchema,
   async run(settings) {
-    const node = await startNode(settings);
+    const starting = startNode(settings);
+    // A further signal joins the stop; without a handler it would cut it short.
+    const stop = () => void starting.then((node) => node.stop());
+    for (const signal of STOP_SIGNALS) process.on(signal, stop);
+    const node = await starting;
     printReady({self: node.self, localPort: node.localPort});
-    process.once('SIGTERM', () => void node.stop());
-    process.once('SIGINT', () => void node.stop());
   },
 });
