Read the members again when those known refuse connections

Cause of "stopped node finishes its requests" (known red, connection-lost), shown by a trace of the caller's sends and of its directory: a node that has just been restarted answers the directory before it knows its peer, with itself as the only member. That list replaces the caller's. When this node then stops, the next booking goes to its closed port three times, and the retries are used up before the directory is read again in the background. The trace of a failed run: list [34123]; 34123 stops; after-stop sent to 34123, 34123, 34123 within 102 ms, each refused; not-run, connection-lost.

Change: when a send was refused and no other member is known, the caller waits for a new list, at most 1 s, before it uses a retry. The directory is not asked at an origin that failed in the same reading while there is another.

--- a/packages/caller/src/caller.ts
+++ b/packages/caller/src/caller.ts
@@ -37,6 +37,8 @@
 /** Resends that join a pinned execution; nothing new runs by them. */
 const MAX_JOINS = 20;
 const JOIN_DELAY_MS = 50;
+/** Longest wait for a new list of members when those known have gone. */
+const REFRESH_WAIT_MS = 1_000;
 /** Share of the remaining time after which a pinned send is sent again. */
 const JOIN_TIME_SHARE = 0.5;
 
@@ -93,8 +95,9 @@
       requestId,
       request.resume ?? this.memory.get(request.requestClass, requestId),
     );
-    const result = await call.run((token) =>
-      this.memory.set(request.requestClass, requestId, token),
+    const result = await call.run(
+      (token) => this.memory.set(request.requestClass, requestId, token),
+      () => this.directory.refresh(request.requestClass),
     );
     if (result.reason === RefusalReason.WRONG_INCARNATION) {
       void this.directory.refresh(request.requestClass).catch(() => undefined);
@@ -145,9 +148,16 @@
     this.pinned = entry.guard === RepeatGuard.PIN ? resume?.pinned : undefined;
   }
 
-  /** `keep` takes the token before each send of a guarded request. */
-  async run(keep: (token: ResumeToken) => void): Promise<CallResult> {
+  /**
+   * `keep` takes the token before each send of a guarded request; `refresh`
+   * reads the members again.
+   */
+  async run(
+    keep: (token: ResumeToken) => void,
+    refresh: () => Promise<unknown>,
+  ): Promise<CallResult> {
     for (;;) {
+      if (this.hasNoneLeft()) await this.waitForMembers(refresh);
       const member = this.chooseMember();
       if (!member) break;
       const token = this.buildToken();
@@ -160,6 +170,25 @@
     return this.buildResult();
   }
 
+  /** Whether the known members refuse connections; the list may be old. */
+  private hasNoneLeft(): boolean {
+    if (this.pinned || this.tried.size === 0) return false;
+    if (this.last.answer?.reason !== RefusalReason.CONNECTION_LOST)
+      return false;
+    return this.router.choose(this.entry.service, this.tried) === undefined;
+  }
+
+  private async waitForMembers(refresh: () => Promise<unknown>): Promise<void> {
+    const remainingMs = this.deadline - this.parts.clock.readMs();
+    const waitMs = Math.max(0, Math.min(remainingMs, REFRESH_WAIT_MS));
+    const end = new AbortController();
+    await Promise.race([
+      refresh().catch(() => undefined),
+      wait(waitMs, undefined, {signal: end.signal}).catch(() => undefined),
+    ]);
+    end.abort();
+  }
+
   /** A pinned request stays with its node until no send of it can run. */
   private chooseMember(): Member | undefined {
     if (this.pinned) return this.pinned;
--- a/packages/caller/src/process/directory.ts
+++ b/packages/caller/src/process/directory.ts
@@ -81,14 +81,14 @@
 
   private async read(requestClass: string): Promise<ClassEntry> {
     let cause: unknown;
+    const failed = new Set<string>();
     for (let attempt = 0; attempt < READ_ATTEMPTS; attempt += 1) {
+      const origin = this.chooseOrigin(requestClass, failed);
       try {
-        return await this.readFrom(
-          this.chooseOrigin(requestClass),
-          requestClass,
-        );
+        return await this.readFrom(origin, requestClass);
       } catch (error) {
         cause = error;
+        failed.add(origin);
       }
     }
     throw new SycamoreyokeError(
@@ -126,18 +126,26 @@
     return entry;
   }
 
-  /** A member of the service when one is known, else one of the entries. */
-  private chooseOrigin(requestClass: string): string {
+  /**
+   * A known member of the service or one of the entries; one that failed only
+   * when there is no other.
+   */
+  private chooseOrigin(
+    requestClass: string,
+    failed: ReadonlySet<string>,
+  ): string {
     const service = this.cache.get(requestClass)?.entry.service;
-    const known = service === undefined ? [] : this.router.list(service);
-    const origins = [
-      ...known.map(
-        ({address, publicPort}) => `http://${address}:${publicPort}`,
-      ),
-      ...this.options.entries,
-    ];
+    const members = service === undefined ? [] : this.router.list(service);
+    const known = members.map(
+      ({address, publicPort}) => `http://${address}:${publicPort}`,
+    );
+    const all = [...known, ...this.options.entries].map(
+      (url) => new URL(url).origin,
+    );
+    const untried = all.filter((origin) => !failed.has(origin));
+    const origins = untried.length > 0 ? untried : all;
     const origin = origins[takeInteger(this.random, origins.length)];
     if (origin === undefined) throw new SycamoreyokeError('no entry is given');
-    return new URL(origin).origin;
+    return origin;
   }
 }
