--- a/packages/sycamoreyoke/src/process/stopSchedule.ts
+++ b/packages/sycamoreyoke/src/process/stopSchedule.ts
@@ -8,11 +8,11 @@
 /** Part in which requests are taken if they arrive on open connections. */
 const TAKE_SHARE = 0.48;
 /** Part after which requests that still run are answered as unknown. */
-const ANSWER_SHARE = 11 / 12;
+const ANSWER_SHARE = 7 / 8;
 /** Part after which connections are closed; the rest covers delayed timers. */
-const EXIT_SHARE = 15 / 16;
+const EXIT_SHARE = 11 / 12;
 /** Part kept for the answers of requests when calls of the upstream end. */
-const REPLY_SHARE = 1 / 4;
+const REPLY_SHARE = 5 / 24;
 
 /** The result of a call has to reach the request before that is answered. */
 const CALL_MARGIN_MS = 100;
