--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -52,7 +52,7 @@
 
 function closeHarness({client, listener}: Harness): void {
   client.destroy();
-  listener.stopAccepting();
+  void listener.stopAccepting();
 }
 
 // Guards against pipelined requests that go on for a client that has left, and
--- a/packages/sidecar/src/connection/clientListener.ts
+++ b/packages/sidecar/src/connection/clientListener.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Server} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {setImmediate as waitForPoll} from 'node:timers/promises';
 import type {ListenerBounds} from '../process/httpListeners.js';
 import {
   LISTENER_OPTIONS,
@@ -72,12 +73,11 @@
   }
 
   /** Takes no more connections; those that are open go on. */
-  stopAccepting(): void {
+  async stopAccepting(): Promise<void> {
     // Connections that wait to be accepted are taken first; closing the
     // listener would reset them.
-    setImmediate(() => {
-      if (this.server.listening) this.server.close();
-    });
+    await waitForPoll();
+    if (this.server.listening) this.server.close();
   }
 
   endIdle(): void {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -92,7 +92,7 @@
     parts.record(EventCode.NODE_LEAVING, {cause: signal});
     parts.peerServer.announceReport();
     await this.takeRequests(schedule);
-    parts.clients.stopAccepting();
+    await parts.clients.stopAccepting();
     const leftMs = Math.max(0, schedule.answerMs - parts.clock.readMs());
     const closingLinks = parts.peerServer.close(leftMs);
     await this.finishRequests(schedule);
