Keep a connection whose early refusal has been overtaken

A request whose body is refused before it has arrived whole is answered with the end of its connection. The decision was made when the refusal was made; while the refusal waits behind an earlier response, the rest of the body arrives and later requests are read and passed on, and the connection then ended without their answers.

The end is now decided when the refusal is written: a request that is complete by then needs none.

The new test loses the third of three requests without the change (cuts false, false, true) and passes with it; the other tests of the listener pass.

--- a/packages/sidecar/src/connection/clientExchange.ts
+++ b/packages/sidecar/src/connection/clientExchange.ts
@@ -7,7 +7,7 @@
   /** Names and values in turn. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
-  /** Set when the rest of the request is not read. */
+  /** Set when the rest of the request, if any, is not read. */
   readonly endsConnection?: boolean;
 }
 
@@ -90,8 +90,12 @@
     else this.response.end(decodeBytes(body), 'latin1');
   }
 
+  /**
+   * A request that has arrived whole meanwhile may be followed by others, which
+   * were passed on and need the connection for their answers.
+   */
   needsConnectionEnd(): boolean {
-    return this.answered?.endsConnection === true;
+    return this.answered?.endsConnection === true && !this.request.complete;
   }
 
   close(): void {
--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -124,3 +124,24 @@
   expect(ends).to.deep.equal(['end']);
   closeHarness(harness);
 });
+
+// Guards against a connection that ends behind an early refusal although the
+// refused request has arrived whole and a later one was passed on.
+it('early refusal of a body keeps a connection with later requests', async () => {
+  const harness = await openHarness();
+  const head = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n';
+  harness.client.write(`${REQUEST}${head}ab`);
+  await waitUntil(() => harness.exchanges.length === 2);
+  const [first, refused] = harness.exchanges;
+  const refusal = {status: 413, headers: [], body: BODY, endsConnection: true};
+  refused?.request.resume();
+  refused?.answer(refusal);
+  harness.client.write(`cd${REQUEST}`);
+  await waitUntil(() => harness.exchanges.length === 3);
+  harness.exchanges[2]?.answer({status: 203, headers: [], body: BODY});
+  first?.answer({status: 201, headers: [], body: BODY});
+  await waitUntil(() => harness.listener.countOpen() === 0);
+  expect(harness.cuts).to.deep.equal([false, false, false]);
+  expect(harness.read()).to.match(/ 201 [^]* 413 [^]* 203 /);
+  closeHarness(harness);
+});
