Answer what the HTTP library would refuse by itself

The library answers a request without a host (400, and the end of the connection) and an unknown expectation (417) without telling the owner of the connection, and destroys the connection at CONNECT. A request behind the 400 was passed on and its connection closed without an answer, a 417 behind the last response of a stop was never sent, and CONNECT cut every request before it.

Such requests are now exchanges like all others; one without a host is refused by the handler, an unknown expectation is passed over. CONNECT is answered 501 after the requests before it.

--- a/packages/sidecar/src/connection/clientConnection.ts
+++ b/packages/sidecar/src/connection/clientConnection.ts
@@ -21,6 +21,7 @@
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 const BAD_REQUEST = '400 Bad Request';
+const NOT_IMPLEMENTED = '501 Not Implemented';
 
 /**
  * Closes only behind a response that says so, or while no request is open: a
@@ -84,6 +85,16 @@
     this.flush();
   }
 
+  /** Answers CONNECT, after which the library has let go of the socket. */
+  refuseTunnel(): void {
+    this.socket.on('error', () => this.socket.destroy());
+    this.socket.once('end', () => this.end());
+    this.socket.resume();
+    this.isEnding = true;
+    this.failureStatus = NOT_IMPLEMENTED;
+    this.flush();
+  }
+
   /** Writes the next answer if it is there. */
   private flush(): void {
     const [first] = this.exchanges;
--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -145,3 +145,48 @@
   expect(harness.read()).to.match(/ 201 [^]* 413 [^]* 203 /);
   closeHarness(harness);
 });
+
+// Guards against answers of the HTTP library that end the connection, or are
+// cut by its end, unknown to it: a request without a host, an expectation.
+it('requests that the library would refuse are answered in order', async () => {
+  const harness = await openHarness();
+  const plain = 'GET / HTTP/1.1\r\n';
+  const expecting = `${plain}Host: h\r\nExpect: other\r\n\r\n`;
+  harness.client.write(`${REQUEST}${plain}\r\n${expecting}${REQUEST}`);
+  await waitUntil(() => harness.exchanges.length === 4);
+  harness.isStopping = true;
+  for (const [index, exchange] of harness.exchanges.entries()) {
+    exchange.answer({status: 201 + index, headers: [], body: BODY});
+  }
+  await waitUntil(() => harness.listener.countConnections() === 0);
+  expect(harness.cuts).to.deep.equal([false, false, false, false]);
+  expect(harness.read()).to.match(/ 201 [^]* 202 [^]* 203 [^]* 204 /);
+  closeHarness(harness);
+});
+
+// Guards against CONNECT that cuts the requests before it.
+it('CONNECT is answered after the requests before it', async () => {
+  const harness = await openHarness();
+  const connectHead = 'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n';
+  harness.client.write(REQUEST + connectHead + REQUEST);
+  await waitUntil(() => harness.exchanges.length === 1);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  harness.exchanges[0]?.answer({status: 201, headers: [], body: BODY});
+  await waitUntil(() => harness.listener.countConnections() === 0);
+  expect(harness.cuts).to.deep.equal([false]);
+  expect(harness.read()).to.match(/ 201 [^]*whole[^]* 501 /);
+  expect(harness.exchanges).to.have.length(1);
+  closeHarness(harness);
+});
+
+// Guards against a client that has left behind CONNECT and holds its requests.
+it('client that leaves after CONNECT ends its requests', async () => {
+  const harness = await openHarness();
+  const connectHead = 'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n';
+  harness.client.write(REQUEST + connectHead);
+  await waitUntil(() => harness.exchanges.length === 1);
+  harness.client.destroy();
+  await waitUntil(() => harness.listener.countConnections() === 0);
+  expect(harness.cuts).to.deep.equal([true]);
+  closeHarness(harness);
+});
--- a/packages/sidecar/src/connection/clientListener.ts
+++ b/packages/sidecar/src/connection/clientListener.ts
@@ -35,11 +35,20 @@
     private readonly parts: ClientConnectionParts,
     private readonly handle: ExchangeHandler,
   ) {
-    this.server = new ClientServer(LISTENER_OPTIONS);
+    // The library would answer by itself, unknown to the connection.
+    const options = {...LISTENER_OPTIONS, requireHostHeader: false};
+    this.server = new ClientServer(options);
     this.server.on('connection', (socket: Socket) => this.add(socket));
     this.server.on('request', (request, response) =>
       this.accept(request, response),
     );
+    this.server.on('checkExpectation', (request, response) =>
+      this.accept(request, response),
+    );
+    // Without a handler, the library destroys the connection.
+    this.server.on('connect', (_request, socket) =>
+      this.connections.get(socket as Socket)?.refuseTunnel(),
+    );
     this.server.on('timeout', (socket: Socket) =>
       this.connections.get(socket)?.endIfIdle(),
     );
