Answer what runs within short grace times

The stop also looked at the time every 50 ms only, which took it past the bound with a grace time of 1 s.

--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -130,7 +130,7 @@
     while (clock.readMs() < schedule.answerMs) {
       clients.endIdle();
       if (upstream.countCalls() === 0 && clients.countOpen() === 0) return;
-      await wait(STOP_POLL_MS);
+      await this.poll(schedule.answerMs);
     }
   }
 
@@ -140,10 +140,16 @@
     origin.answerOpen();
     while (clients.countConnections() > 0 && clock.readMs() < schedule.exitMs) {
       clients.endIdle();
-      await wait(STOP_POLL_MS);
+      await this.poll(schedule.exitMs);
     }
   }
 
+  /** Waits, but not past a point in time that has to be kept. */
+  private poll(untilMs: number): Promise<void> {
+    const leftMs = untilMs - this.parts.clock.readMs();
+    return wait(Math.min(STOP_POLL_MS, Math.max(0, leftMs)));
+  }
+
   private answerReady(response: ServerResponse): void {
     response.writeHead(this.isReady() ? 200 : 503, {'Content-Length': 0});
     response.end();
