Refuse late requests that may be a client's as not run

Late in a stop only calls of requests that run on the upstream are taken, with their deadline cut to the end of the stop. A call names no parent; where no deadline agrees it is attributed by the order of the requests. While any request ran on the upstream, a request of a client was therefore taken 3.3 s after SIGTERM and broken off at 5.4 s with 504 though its upstream was at work.

A request that does not have the deadline of a running one is now taken so late only if its own deadline lies before the end of the stop; otherwise it is refused as not run.

The price: a call whose own limit is shorter than the rest of its parent's time and ends after the stop is refused too.

--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -70,6 +70,8 @@
 export interface ParentCall {
   readonly requestId: string;
   readonly importance: Importance;
+  /** Otherwise the call may be a request of a client. */
+  readonly isSure: boolean;
   /** The call has its answer. */
   finish(): void;
 }
@@ -114,12 +116,14 @@
   /** The running request for which the upstream makes a call, if any. */
   startChildCall(callDeadlineMs: number): ParentCall | undefined {
     const {callParents, clock} = this.parts;
+    const isSure = callParents.hasDeadline(callDeadlineMs);
     const ticket = callParents.startCall(callDeadlineMs);
     const parent = ticket === undefined ? undefined : this.calls.get(ticket);
     if (!parent) return undefined;
     return {
       requestId: parent.call.requestId,
       importance: parent.call.importance,
+      isSure,
       finish: () => callParents.finishCall(parent.ticket, clock.readMs()),
     };
   }
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -133,11 +133,11 @@
     const leftMs = head.leftMs ?? DEFAULT_TIMEOUT_MS;
     const parent = this.parts.startChildCall(arrivedMs + leftMs);
     if (parent) exchange.handleClose(() => parent.finish());
-    else if (stop && !stop.isTaking(this.parts.clock.readMs())) {
+    const routeDeadlineMs = arrivedMs + Math.min(leftMs, route.timeoutMs);
+    if (stop && !this.isTaken(stop, parent, routeDeadlineMs)) {
       this.refuseStopping(exchange);
       return;
     }
-    const routeDeadlineMs = arrivedMs + Math.min(leftMs, route.timeoutMs);
     const deadlineMs =
       parent && stop ? stop.clampDeadline(routeDeadlineMs) : routeDeadlineMs;
     const importance = chooseImportance(route, parent);
@@ -163,6 +163,18 @@
     });
   }
 
+  /** Late in a stop, calls of running requests are taken, and no others. */
+  private isTaken(
+    stop: StopSchedule,
+    parent: ParentCall | undefined,
+    deadlineMs: number,
+  ): boolean {
+    if (stop.isTaking(this.parts.clock.readMs())) return true;
+    if (!parent) return false;
+    // What may be a request of a client must not be broken off at the end.
+    return parent.isSure || stop.clampDeadline(deadlineMs) === deadlineMs;
+  }
+
   private start(exchange: ClientExchange, routed: RoutedRequest): void {
     const {clock, peers, service, record, metrics, readBudget} = this.parts;
     const call = new OriginCall(routed, {
--- a/packages/sycamoreyoke/src/process/callParents.ts
+++ b/packages/sycamoreyoke/src/process/callParents.ts
@@ -39,6 +39,11 @@
     this.states.delete(ticket);
   }
 
+  /** Whether a running request has the deadline that a call would have. */
+  hasDeadline(callDeadlineMs: number): boolean {
+    return this.findByDeadline(callDeadlineMs) !== undefined;
+  }
+
   /** Ticket of the request for which a call was made, if one fits. */
   startCall(callDeadlineMs: number): string | undefined {
     const state =
