Answer what runs before an exit that cannot wait

Two ends of a stop cut every request without an answer. And the last answer of a connection is written after the events of the turn in which it is given, but a starved process finds the time of its stop over in that same turn and destroyed the connections first.

--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,5 +1,6 @@
 /** The process: opens the listeners, becomes ready, stops without a cut. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {setImmediate as waitForWrites} from 'node:timers/promises';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import {ROW_CHECK_MS, ROW_REMOVAL_MS} from './constants.js';
@@ -138,6 +139,9 @@
   private async endConnections(schedule: StopSchedule): Promise<void> {
     const {clients, clock, origin} = this.parts;
     origin.answerOpen();
+    // The last answer of a connection is written in this turn, but later; a
+    // process that is starved may have no time left to wait in the loop.
+    await waitForWrites();
     while (clients.countConnections() > 0 && clock.readMs() < schedule.exitMs) {
       clients.endIdle();
       await this.poll(schedule.exitMs);
