--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -190,3 +190,36 @@
   expect(harness.cuts).to.deep.equal([true]);
   closeHarness(harness);
 });
+
+// Guards against a client whose pipelined requests fill the memory of the node,
+// and against a connection that is not read on afterwards.
+it('open requests of a connection are bounded, and all are answered', async () => {
+  const harness = await openHarness();
+  const count = 20_000;
+  harness.client.write(REQUEST.repeat(count));
+  await new Promise((resolve) => setTimeout(resolve, 1_000));
+  expect(harness.exchanges.length).to.be.lessThan(count / 4);
+  for (let index = 0; index < count; index += 1) {
+    await waitUntil(() => harness.exchanges.length > index);
+    harness.exchanges[index]?.answer({status: 200, headers: [], body: BODY});
+  }
+  await waitUntil(() => harness.listener.countOpen() === 0);
+  expect(harness.read().match(/whole/g)).to.have.length(count);
+  closeHarness(harness);
+});
+
+// Guards against answers that fill the memory of the node while they wait.
+it('waiting answers of a connection are bounded', async () => {
+  const harness = await openHarness();
+  const body = Buffer.alloc(8 * 1024 * 1024);
+  for (let index = 0; index < 20; index += 1) {
+    harness.client.write(REQUEST);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    if (index === 0) continue;
+    harness.exchanges[index]?.answer({status: 200, headers: [], body});
+  }
+  expect(harness.exchanges.length).to.be.within(3, 6);
+  harness.exchanges[0]?.answer({status: 200, headers: [], body: BODY});
+  await waitUntil(() => harness.exchanges.length === 20);
+  closeHarness(harness);
+});
