--- a/packages/sidecar/src/connection/clientConnection.ts
+++ b/packages/sidecar/src/connection/clientConnection.ts
@@ -4,16 +4,24 @@
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
-import {CLIENT_LINGER_MS} from '../constants.js';
+import {
+  CLIENT_LINGER_MS,
+  MAX_PIPELINED_REQUESTS,
+  MAX_WAITING_BYTES,
+} from '../constants.js';
 import {ClientExchange, ExchangeState} from './clientExchange.js';
 
 /** What a connection needs of its node. */
 export interface ClientConnectionParts {
   readonly record: EventRecorder;
   readonly metrics: Metrics;
+  readonly readMs: () => number;
   readonly isStopping: () => boolean;
 }
 
+/** Serves a request and gives its answer to the exchange. */
+export type ExchangeHandler = (exchange: ClientExchange) => void;
+
 /** Statuses of bytes that are no request, by the code of the error. */
 const ERROR_STATUSES: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -21,13 +29,17 @@
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 const BAD_REQUEST = '400 Bad Request';
+const NOT_IMPLEMENTED = '501 Not Implemented';
 
 /**
  * Closes only behind a response that says so, or while no request is open: a
  * request that was read is answered before its connection ends.
  */
 export class ClientConnection {
+  /** Requests that were handed over, in the order of their arrival. */
   private readonly exchanges: ClientExchange[] = [];
+  /** Requests behind them, which wait for their turn. */
+  private readonly held: ClientExchange[] = [];
   private accepted = 0;
   /** No further request of this connection is taken. */
   private isEnding = false;
@@ -37,6 +49,7 @@
   constructor(
     private readonly socket: Socket,
     private readonly parts: ClientConnectionParts,
+    private readonly handle: ExchangeHandler,
   ) {
     // The HTTP library destroys a socket behind its last response, which resets
     // the connection if the client has sent more, and the response is lost.
@@ -45,32 +58,32 @@
   }
 
   /** Takes a request unless its response could not be sent any more. */
-  accept(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): ClientExchange | undefined {
+  accept(request: IncomingMessage, response: ServerResponse): void {
     if (this.isEnding) {
       request.resume();
-      return undefined;
+      return;
     }
-    const exchange = new ClientExchange(request, response, () => this.flush());
+    const arrivedMs = this.parts.readMs();
+    const exchange = new ClientExchange(request, arrivedMs, response, () =>
+      this.flush(),
+    );
     this.accepted += 1;
-    this.exchanges.push(exchange);
+    this.held.push(exchange);
     if (!exchange.isKeptAlive) this.isEnding = true;
     // A pipelined response gets no 'close' when its connection is lost.
     response.once('close', () => this.finish(exchange));
-    return exchange;
+    this.startHeld();
   }
 
   countOpen(): number {
-    return this.exchanges.length;
+    return this.exchanges.length + this.held.length;
   }
 
   /** Ends the connection unless a request is open on it or has arrived. */
   endIfIdle(): void {
     // Bytes that have arrived meanwhile are read before the decision.
     setImmediate(() => {
-      if (this.exchanges.length === 0) this.end();
+      if (this.countOpen() === 0) this.end();
     });
   }
 
@@ -87,6 +100,16 @@
     this.flush();
   }
 
+  /** Answers CONNECT, after which the library has let go of the socket. */
+  refuseTunnel(): void {
+    this.socket.on('error', () => this.socket.destroy());
+    this.socket.once('end', () => this.end());
+    this.socket.resume();
+    this.isEnding = true;
+    this.failureStatus = NOT_IMPLEMENTED;
+    this.flush();
+  }
+
   /** Writes the next answer if it is there. */
   private flush(): void {
     const [first] = this.exchanges;
@@ -110,10 +133,28 @@
     exchange.write(isLast);
   }
 
+  /** Hands over what the bounds of a connection allow. */
+  private startHeld(): void {
+    while (this.held.length > 0 && this.hasRoom()) {
+      const next = this.held.shift() as ClientExchange;
+      this.exchanges.push(next);
+      this.handle(next);
+    }
+  }
+
+  private hasRoom(): boolean {
+    if (this.exchanges.length >= MAX_PIPELINED_REQUESTS) return false;
+    const waitingBytes = this.exchanges.reduce(
+      (sum, exchange) => sum + exchange.countWaitingBytes(),
+      0,
+    );
+    return waitingBytes < MAX_WAITING_BYTES;
+  }
+
   private isLastWhenStopping(): boolean {
     return (
       this.parts.isStopping() &&
-      this.exchanges.length === 1 &&
+      this.countOpen() === 1 &&
       this.failureStatus === undefined
     );
   }
@@ -123,6 +164,7 @@
     if (index < 0) return;
     this.exchanges.splice(index, 1);
     exchange.close();
+    this.startHeld();
     this.flush();
   }
 
@@ -156,11 +198,13 @@
     this.isEnding = true;
     this.reportCut();
     for (const exchange of this.exchanges.splice(0)) exchange.close();
+    this.held.length = 0;
   }
 
   private reportCut(): void {
-    if (this.exchanges.length === 0) return;
-    const unanswered = this.exchanges.filter(
+    const open = [...this.exchanges, ...this.held];
+    if (open.length === 0) return;
+    const unanswered = open.filter(
       ({state}) => state === ExchangeState.RUNNING,
     ).length;
     const hasClientLeft = this.socket.readableEnded || this.socket.errored;
@@ -170,7 +214,7 @@
       endedBy,
       accepted: this.accepted,
       unanswered,
-      unwritten: this.exchanges.length - unanswered,
+      unwritten: open.length - unanswered,
       isStopping: this.parts.isStopping(),
     });
   }
--- a/packages/sidecar/src/connection/clientExchange.ts
+++ b/packages/sidecar/src/connection/clientExchange.ts
@@ -7,7 +7,7 @@
   /** Names and values in turn. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
-  /** Set when the rest of the request is not read. */
+  /** Set when the rest of the request, if any, is not read. */
   readonly endsConnection?: boolean;
 }
 
@@ -43,6 +43,8 @@
 
   constructor(
     readonly request: IncomingMessage,
+    /** On the node's clock, ms. */
+    readonly arrivedMs: number,
     private readonly response: ServerResponse,
     private readonly handleAnswer: () => void,
   ) {}
@@ -52,6 +54,12 @@
     return this.response.shouldKeepAlive;
   }
 
+  /** Bytes of an answer that is not written yet. */
+  countWaitingBytes(): number {
+    const isWaiting = this.state === ExchangeState.ANSWERED;
+    return isWaiting ? (this.answered?.body.length ?? 0) : 0;
+  }
+
   /** Takes the answer; later ones are passed over. */
   answer(answer: ClientAnswer): void {
     if (this.state !== ExchangeState.RUNNING) return;
@@ -90,8 +98,12 @@
     else this.response.end(decodeBytes(body), 'latin1');
   }
 
+  /**
+   * A request that has arrived whole meanwhile may be followed by others, which
+   * were passed on and need the connection for their answers.
+   */
   needsConnectionEnd(): boolean {
-    return this.answered?.endsConnection === true;
+    return this.answered?.endsConnection === true && !this.request.complete;
   }
 
   close(): void {
--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -24,6 +24,7 @@
   const parts = {
     record: () => undefined,
     metrics: new Metrics(),
+    readMs: () => performance.now(),
     isStopping: () => harness.isStopping,
   };
   const listener = new ClientListener(parts, (exchange) => {
@@ -140,3 +141,102 @@
   await waitUntil(() => harness.read().includes('201'));
   closeHarness(harness);
 });
+
+// Guards against a connection that ends behind an early refusal although the
+// refused request has arrived whole and a later one was passed on.
+it('early refusal of a body keeps a connection with later requests', async () => {
+  const harness = await openHarness();
+  const head = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n';
+  harness.client.write(`${REQUEST}${head}ab`);
+  await waitUntil(() => harness.exchanges.length === 2);
+  const [first, refused] = harness.exchanges;
+  const refusal = {status: 413, headers: [], body: BODY, endsConnection: true};
+  refused?.request.resume();
+  refused?.answer(refusal);
+  harness.client.write(`cd${REQUEST}`);
+  await waitUntil(() => harness.exchanges.length === 3);
+  harness.exchanges[2]?.answer({status: 203, headers: [], body: BODY});
+  first?.answer({status: 201, headers: [], body: BODY});
+  await waitUntil(() => harness.listener.countOpen() === 0);
+  expect(harness.cuts).to.deep.equal([false, false, false]);
+  expect(harness.read()).to.match(/ 201 [^]* 413 [^]* 203 /);
+  closeHarness(harness);
+});
+
+// Guards against answers of the HTTP library that end the connection, or are
+// cut by its end, unknown to it: a request without a host, an expectation.
+it('requests that the library would refuse are answered in order', async () => {
+  const harness = await openHarness();
+  const plain = 'GET / HTTP/1.1\r\n';
+  const expecting = `${plain}Host: h\r\nExpect: other\r\n\r\n`;
+  harness.client.write(`${REQUEST}${plain}\r\n${expecting}${REQUEST}`);
+  await waitUntil(() => harness.exchanges.length === 4);
+  harness.isStopping = true;
+  for (const [index, exchange] of harness.exchanges.entries()) {
+    exchange.answer({status: 201 + index, headers: [], body: BODY});
+  }
+  await waitUntil(() => harness.listener.countConnections() === 0);
+  expect(harness.cuts).to.deep.equal([false, false, false, false]);
+  expect(harness.read()).to.match(/ 201 [^]* 202 [^]* 203 [^]* 204 /);
+  closeHarness(harness);
+});
+
+// Guards against CONNECT that cuts the requests before it.
+it('CONNECT is answered after the requests before it', async () => {
+  const harness = await openHarness();
+  const connectHead = 'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n';
+  harness.client.write(REQUEST + connectHead + REQUEST);
+  await waitUntil(() => harness.exchanges.length === 1);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  harness.exchanges[0]?.answer({status: 201, headers: [], body: BODY});
+  await waitUntil(() => harness.listener.countConnections() === 0);
+  expect(harness.cuts).to.deep.equal([false]);
+  expect(harness.read()).to.match(/ 201 [^]*whole[^]* 501 /);
+  expect(harness.exchanges).to.have.length(1);
+  closeHarness(harness);
+});
+
+// Guards against a client that has left behind CONNECT and holds its requests.
+it('client that leaves after CONNECT ends its requests', async () => {
+  const harness = await openHarness();
+  const connectHead = 'CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n';
+  harness.client.write(REQUEST + connectHead);
+  await waitUntil(() => harness.exchanges.length === 1);
+  harness.client.destroy();
+  await waitUntil(() => harness.listener.countConnections() === 0);
+  expect(harness.cuts).to.deep.equal([true]);
+  closeHarness(harness);
+});
+
+// Guards against a client whose pipelined requests fill the memory of the node,
+// and against a connection that is not read on afterwards.
+it('open requests of a connection are bounded, and all are answered', async () => {
+  const harness = await openHarness();
+  const count = 20_000;
+  harness.client.write(REQUEST.repeat(count));
+  await new Promise((resolve) => setTimeout(resolve, 1_000));
+  expect(harness.exchanges.length).to.be.lessThan(count / 4);
+  for (let index = 0; index < count; index += 1) {
+    await waitUntil(() => harness.exchanges.length > index);
+    harness.exchanges[index]?.answer({status: 200, headers: [], body: BODY});
+  }
+  await waitUntil(() => harness.listener.countOpen() === 0);
+  expect(harness.read().match(/whole/g)).to.have.length(count);
+  closeHarness(harness);
+});
+
+// Guards against answers that fill the memory of the node while they wait.
+it('waiting answers of a connection are bounded', async () => {
+  const harness = await openHarness();
+  const body = Buffer.alloc(8 * 1024 * 1024);
+  for (let index = 0; index < 20; index += 1) {
+    harness.client.write(REQUEST);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    if (index === 0) continue;
+    harness.exchanges[index]?.answer({status: 200, headers: [], body});
+  }
+  expect(harness.exchanges.length).to.be.within(3, 6);
+  harness.exchanges[0]?.answer({status: 200, headers: [], body: BODY});
+  await waitUntil(() => harness.exchanges.length === 20);
+  closeHarness(harness);
+});
--- a/packages/sidecar/src/connection/clientListener.ts
+++ b/packages/sidecar/src/connection/clientListener.ts
@@ -10,11 +10,11 @@
   listen,
 } from '../process/httpListeners.js';
 import type {Address} from '../types.js';
-import type {ClientConnectionParts} from './clientConnection.js';
+import type {
+  ClientConnectionParts,
+  ExchangeHandler,
+} from './clientConnection.js';
 import {ClientConnection} from './clientConnection.js';
-import type {ClientExchange} from './clientExchange.js';
-
-export type ExchangeHandler = (exchange: ClientExchange) => void;
 
 /** An HTTP server whose connections end by themselves. */
 class ClientServer extends Server {
@@ -36,11 +36,20 @@
     private readonly parts: ClientConnectionParts,
     private readonly handle: ExchangeHandler,
   ) {
-    this.server = new ClientServer(LISTENER_OPTIONS);
+    // The library would answer by itself, unknown to the connection.
+    const options = {...LISTENER_OPTIONS, requireHostHeader: false};
+    this.server = new ClientServer(options);
     this.server.on('connection', (socket: Socket) => this.add(socket));
     this.server.on('request', (request, response) =>
       this.accept(request, response),
     );
+    this.server.on('checkExpectation', (request, response) =>
+      this.accept(request, response),
+    );
+    // Without a handler, the library destroys the connection.
+    this.server.on('connect', (_request, socket) =>
+      this.connections.get(socket as Socket)?.refuseTunnel(),
+    );
     this.server.on('timeout', (socket: Socket) =>
       this.connections.get(socket)?.endIfIdle(),
     );
@@ -90,13 +99,14 @@
   }
 
   private add(socket: Socket): void {
-    this.connections.set(socket, new ClientConnection(socket, this.parts));
+    this.connections.set(
+      socket,
+      new ClientConnection(socket, this.parts, this.handle),
+    );
     socket.once('close', () => this.connections.delete(socket));
   }
 
   private accept(request: IncomingMessage, response: ServerResponse): void {
-    const connection = this.connections.get(request.socket);
-    const exchange = connection?.accept(request, response);
-    if (exchange) this.handle(exchange);
+    this.connections.get(request.socket)?.accept(request, response);
   }
 }
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -89,6 +89,10 @@
 export const STORE_RETRY_MIN_MS = 100;
 export const STORE_RETRY_MAX_MS = 1_000;
 
+/** Requests of one client connection that are passed on at once. */
+export const MAX_PIPELINED_REQUESTS = 64;
+/** Bytes of answers of one connection that may wait for an earlier answer. */
+export const MAX_WAITING_BYTES = 16 * 1024 * 1024;
 /** Time in which a client may close its side of a connection that ends. */
 export const CLIENT_LINGER_MS = 500;
 /** Advice to clients of a node that stops: it is back about then. */
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,5 +1,6 @@
 /** The process: opens the listeners, becomes ready, stops without a cut. */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {setImmediate as waitForWrites} from 'node:timers/promises';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import {ROW_CHECK_MS, ROW_REMOVAL_MS} from './constants.js';
@@ -130,7 +131,7 @@
     while (clock.readMs() < schedule.answerMs) {
       clients.endIdle();
       if (upstream.countCalls() === 0 && clients.countOpen() === 0) return;
-      await wait(STOP_POLL_MS);
+      await this.poll(schedule.answerMs);
     }
   }
 
@@ -138,12 +139,21 @@
   private async endConnections(schedule: StopSchedule): Promise<void> {
     const {clients, clock, origin} = this.parts;
     origin.answerOpen();
+    // The last answer of a connection is written in this turn, but later; a
+    // process that is starved may have no time left to wait in the loop.
+    await waitForWrites();
     while (clients.countConnections() > 0 && clock.readMs() < schedule.exitMs) {
       clients.endIdle();
-      await wait(STOP_POLL_MS);
+      await this.poll(schedule.exitMs);
     }
   }
 
+  /** Waits, but not past a point in time that has to be kept. */
+  private poll(untilMs: number): Promise<void> {
+    const leftMs = untilMs - this.parts.clock.readMs();
+    return wait(Math.min(STOP_POLL_MS, Math.max(0, leftMs)));
+  }
+
   private answerReady(response: ServerResponse): void {
     response.writeHead(this.isReady() ? 200 : 503, {'Content-Length': 0});
     response.end();
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -305,7 +305,12 @@
     readStop: () => lifecycle.stop,
   });
   const clients = new ClientListener(
-    {record, metrics, isStopping: () => lifecycle.stop !== undefined},
+    {
+      record,
+      metrics,
+      readMs: () => clock.readMs(),
+      isStopping: () => lifecycle.stop !== undefined,
+    },
     (exchange) => origin.handle(exchange),
   );
   metrics.watch('gate_running', () => upstream.describeLoad().running);
