--- a/packages/sidecar/src/connection/clientListener.ts
+++ b/packages/sidecar/src/connection/clientListener.ts
@@ -73,7 +73,11 @@
 
   /** Takes no more connections; those that are open go on. */
   stopAccepting(): void {
-    if (this.server.listening) this.server.close();
+    // Connections that wait to be accepted are taken first; closing the
+    // listener would reset them.
+    setImmediate(() => {
+      if (this.server.listening) this.server.close();
+    });
   }
 
   endIdle(): void {
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -23,6 +23,7 @@
   ResultHandler,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import type {ByteBudget} from './byteBudget.js';
 import type {Frame} from './peerFrames.js';
 import {
   FRAME_REVISION,
@@ -88,6 +89,8 @@
     readonly node: NodeRecord,
     private readonly clock: Clock,
     private readonly events: LinkEvents,
+    /** Bytes of unfinished frames, of all links together. */
+    private readonly frameBudget: ByteBudget<FrameReader>,
   ) {
     this.lostMs = clock.readMs();
     this.dial();
@@ -150,8 +153,15 @@
     this.socket = socket;
     this.heardMs = this.clock.readMs();
     socket.setNoDelay(true);
-    const reader = new FrameReader((frame) => {
-      if (this.socket === socket) this.receive(socket, frame);
+    const reader = new FrameReader({
+      handle: (frame) => {
+        if (this.socket === socket) this.receive(socket, frame);
+      },
+      budget: this.frameBudget,
+      handleExcess: (message) => {
+        if (this.socket === socket) this.disconnect(message);
+        else socket.destroy();
+      },
     });
     socket.on('connect', () => {
       sendFrame(socket, {
@@ -176,7 +186,10 @@
       this.handleEnd(socket, 'node ended the link');
     });
     socket.on('error', (error) => this.handleEnd(socket, error.message));
-    socket.on('close', () => this.handleEnd(socket, 'connection closed'));
+    socket.on('close', () => {
+      reader.close();
+      this.handleEnd(socket, 'connection closed');
+    });
   }
 
   /**
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -6,6 +6,8 @@
   HOST,
   REPORT,
   createCall,
+  createFrameBudget,
+  createFrameReader,
   createNode,
   openRawServer,
   waitFor,
@@ -13,7 +15,6 @@
 import {
   FRAME_REVISION,
   FrameKind,
-  FrameReader,
   encodeFrame,
 } from '../connection/peerFrames.js';
 import type {CallResult} from '../types.js';
@@ -32,7 +33,7 @@
   const sockets: Socket[] = [];
   const {address, server} = await openRawServer((socket) => {
     sockets.push(socket);
-    const reader = new FrameReader(({kind}) => kinds.push(kind));
+    const reader = createFrameReader(({kind}) => kinds.push(kind));
     socket.on('data', (chunk) => reader.add(chunk));
     socket.on('end', () => socket.end());
     socket.on('error', () => undefined);
@@ -65,6 +66,7 @@
     handleNode: () => undefined,
     handleReplaced: () => undefined,
     needsNodes: () => false,
+    frameBudget: createFrameBudget(),
   });
 }
 
