--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -1,16 +1,20 @@
 /** One keep-alive connection to the upstream, one request at a time. */
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
-import type {HTTPParserJS} from 'http-parser-js';
-import {HTTPParser} from 'http-parser-js';
 import {
   KEEP_ALIVE_SHARE,
-  MAX_RESPONSE_BYTES,
+  RESPONSE_LIMITS,
   UPSTREAM_CONNECT_TIMEOUT_MS,
   UPSTREAM_IDLE_MS,
 } from '../constants.js';
 import type {Address, HeaderList} from '../types.js';
+import {GateReason} from '../types.js';
+import type {ByteBudget, ExchangeBytes} from './byteBudget.js';
+import {findExcess} from './byteBudget.js';
+import {ByteList} from './byteList.js';
 import {getHeader} from './headerList.js';
+import type {ResponseHead} from './responseParser.js';
+import {ResponseParser} from './responseParser.js';
 
 /** A request as it is written to the upstream. */
 export interface UpstreamRequest {
@@ -39,50 +43,63 @@
       readonly body: Uint8Array;
     }
   | {
-      readonly end: ExchangeEnd.NOT_SENT | ExchangeEnd.LOST;
+      readonly end: ExchangeEnd.NOT_SENT;
+      /** The upstream did not accept the connection. */
+      readonly isRefused: boolean;
+      readonly message: string;
+    }
+  | {
+      readonly end: ExchangeEnd.LOST;
+      readonly reason: GateReason;
       readonly message: string;
     };
 
 interface RunningExchange {
   readonly request: UpstreamRequest;
   readonly settle: (result: ExchangeResult) => void;
+  readonly bytes: ExchangeBytes;
 }
 
-interface PartialResponse {
-  readonly status: number;
-  readonly headers: HeaderList;
+interface PartialResponse extends ResponseHead {
   readonly isOwn: boolean;
-  readonly isKeptAlive: boolean;
-  readonly chunks: Buffer[];
-  size: number;
+  readonly body: ByteList;
+}
+
+/** What a connection needs of the pool that it belongs to. */
+export interface ConnectionParts {
+  readonly address: Address;
+  readonly readMs: () => number;
+  /** Bytes of unfinished responses, of all connections together. */
+  readonly budget: ByteBudget<UpstreamConnection>;
+  /** Called when the connection can take another request. */
+  readonly handleIdle: (connection: UpstreamConnection) => void;
+  /** Called with bytes for which no request waits. */
+  readonly handleUnasked: (message: string) => void;
 }
 
-/** Tells the parser that a response has no body. */
-const SKIP_BODY = 1;
 const NO_BODY_STATUSES = new Set([204, 304]);
 
 /** Owns a socket and the parser of what arrives on it. */
 export class UpstreamConnection {
-  private readonly parser: HTTPParserJS;
+  private readonly parser: ResponseParser;
   private readonly socket: Socket;
   private exchange: RunningExchange | undefined;
   private response: PartialResponse | undefined;
   private isConnected = false;
   private isClosed = false;
+  /** Whether bytes of the request may have reached the upstream. */
+  private isSent = false;
   private idleSinceMs = 0;
   private maxIdleMs = UPSTREAM_IDLE_MS;
 
-  constructor(
-    address: Address,
-    private readonly readMs: () => number,
-    private readonly handleIdle: (connection: UpstreamConnection) => void,
-  ) {
-    this.parser = this.createParser();
-    this.socket = connect({
-      host: address.host,
-      port: address.port,
-      allowHalfOpen: true,
+  constructor(private readonly parts: ConnectionParts) {
+    this.parser = new ResponseParser({
+      handleHead: (head) => this.startResponse(head),
+      handleBody: (piece) => this.addBody(piece),
+      handleEnd: () => this.finishResponse(),
     });
+    const {host, port} = parts.address;
+    this.socket = connect({host, port, allowHalfOpen: true});
     this.socket.setNoDelay(true);
     this.socket.setTimeout(UPSTREAM_CONNECT_TIMEOUT_MS, () => {
       if (!this.isConnected) this.close('connecting took too long');
@@ -103,27 +120,33 @@
     return new Promise((resolve) => {
       if (this.isClosed) {
         const message = 'connection was closed while idle';
-        resolve({end: ExchangeEnd.NOT_SENT, message});
+        resolve({end: ExchangeEnd.NOT_SENT, isRefused: false, message});
         return;
       }
-      this.exchange = {request, settle: resolve};
+      const bytes = {received: 0, body: 0};
+      this.isSent = false;
+      this.exchange = {request, settle: resolve, bytes};
       if (this.isConnected) this.send();
     });
   }
 
   /** Whether it has been idle for no longer than the given time. */
   isReusable(maxIdleMs: number): boolean {
-    const idleMs = this.readMs() - this.idleSinceMs;
+    const idleMs = this.parts.readMs() - this.idleSinceMs;
     return !this.isClosed && idleMs < Math.min(maxIdleMs, this.maxIdleMs);
   }
 
   /** Closes the connection; a running exchange is lost. */
-  close(message: string): void {
+  close(message: string, reason = GateReason.CONNECTION_LOST): void {
     if (this.isClosed) return;
     this.isClosed = true;
     this.socket.destroy();
-    const end = this.isConnected ? ExchangeEnd.LOST : ExchangeEnd.NOT_SENT;
-    this.settle({end, message});
+    const isRefused = !this.isConnected;
+    this.settle(
+      this.isSent
+        ? {end: ExchangeEnd.LOST, reason, message}
+        : {end: ExchangeEnd.NOT_SENT, isRefused, message},
+    );
   }
 
   private send(): void {
@@ -133,16 +156,36 @@
     this.socket.write(renderHead(request), 'latin1');
     if (request.body.length > 0) this.socket.write(request.body);
     this.socket.uncork();
+    // The first write is tried at once; when it fails, no byte was taken.
+    const {errored} = this.socket;
+    if (errored) this.close(errored.message);
+    else this.isSent = true;
   }
 
   private receive(chunk: Buffer): void {
     if (this.isClosed) return;
-    const consumed = this.parser.execute(chunk);
-    if (consumed instanceof Error) {
-      this.close(`upstream sent no valid response: ${consumed.message}`);
+    const bytes = this.exchange?.bytes;
+    if (!bytes) {
+      const message = 'upstream sent bytes that no request waits for';
+      this.parts.handleUnasked(message);
+      this.close(message);
+      return;
+    }
+    bytes.received += chunk.length;
+    const error = this.parser.add(chunk);
+    if (!this.exchange) return;
+    this.checkBytes(bytes);
+    if (error) {
+      const message = `upstream sent no valid response: ${error.message}`;
+      this.close(message, GateReason.BAD_RESPONSE);
     }
   }
 
+  private checkBytes(bytes: ExchangeBytes): void {
+    const excess = findExcess(bytes, RESPONSE_LIMITS);
+    if (excess) this.close(excess, GateReason.RESPONSE_TOO_LARGE);
+  }
+
   /**
    * The upstream closed its side, which completes a body without a length. A
    * reset that follows data is reported as an end too; only a write tells the
@@ -159,65 +202,58 @@
     });
   }
 
-  private createParser(): HTTPParserJS {
-    const parser = new HTTPParser(HTTPParser.RESPONSE);
-    parser[HTTPParser.kOnHeadersComplete] = (info) => {
-      this.response = this.startResponse(info.statusCode, info.headers, {
-        isKeptAlive: info.shouldKeepAlive,
-      });
-      const {method} = this.exchange?.request ?? {};
-      const isBodyless =
-        method === 'HEAD' || NO_BODY_STATUSES.has(info.statusCode ?? 0);
-      return isBodyless ? SKIP_BODY : 0;
-    };
-    parser[HTTPParser.kOnBody] = (buffer, offset, length) => {
-      const {response} = this;
-      if (!response) return;
-      response.size += length;
-      if (response.size > MAX_RESPONSE_BYTES) {
-        this.close('response body is too large');
-        return;
-      }
-      response.chunks.push(buffer.subarray(offset, offset + length));
-    };
-    parser[HTTPParser.kOnMessageComplete] = () => this.finishResponse();
-    return parser;
+  /** Says whether a body may follow. */
+  private startResponse(head: ResponseHead): boolean {
+    const {request} = this.exchange ?? {};
+    if (!request) return false;
+    const {status, headers} = head;
+    const isOwn = status >= 200 && request.isOwnResponse(status, headers);
+    this.response = {...head, isOwn, body: new ByteList()};
+    const length = Number(getHeader(headers, 'content-length') ?? 0);
+    if (request.method === 'HEAD' || NO_BODY_STATUSES.has(status)) return false;
+    if (length > RESPONSE_LIMITS.maxBodyBytes) {
+      const message = `upstream announced a body of ${length} bytes`;
+      this.close(message, GateReason.RESPONSE_TOO_LARGE);
+    }
+    return true;
   }
 
-  private startResponse(
-    status: number,
-    headers: HeaderList,
-    {isKeptAlive}: {isKeptAlive: boolean},
-  ): PartialResponse | undefined {
-    if (!this.exchange) {
-      this.close('upstream sent a response that nobody waits for');
-      return undefined;
-    }
-    const isOwn =
-      status >= 200 && this.exchange.request.isOwnResponse(status, headers);
-    return {status, headers, isOwn, isKeptAlive, chunks: [], size: 0};
+  private addBody(piece: Buffer): void {
+    const {response, exchange} = this;
+    if (!response || !exchange) return;
+    exchange.bytes.body += piece.length;
+    this.checkBytes(exchange.bytes);
+    if (!response.isOwn || this.isClosed) return;
+    response.body.add(piece);
+    const largest = this.parts.budget.reserve(this, piece.length);
+    largest?.close(
+      'responses that arrive together are too large',
+      GateReason.MEMORY_FULL,
+    );
   }
 
   private finishResponse(): void {
     const {response} = this;
     this.response = undefined;
-    if (!response?.isOwn) return;
-    const {status, headers, chunks, isKeptAlive} = response;
-    // The parser reuses no memory, but its chunks share that of the socket.
-    const body = Buffer.concat(chunks);
+    if (!response?.isOwn || !this.exchange) return;
+    const {status, headers, isKeptAlive} = response;
+    const body = response.body.join();
     this.maxIdleMs = readIdleMs(headers);
-    this.idleSinceMs = this.readMs();
+    this.idleSinceMs = this.parts.readMs();
     const isFlushed = this.socket.writableLength === 0;
     const hasLength = hasDelimiter(status, headers);
-    const isReusable = isKeptAlive && isFlushed && hasLength;
+    const isAlone = !this.parser.hasMore();
+    const isReusable = isKeptAlive && isFlushed && hasLength && isAlone;
     this.settle({end: ExchangeEnd.RESPONSE, status, headers, body});
-    if (isReusable) this.handleIdle(this);
+    if (isReusable) this.parts.handleIdle(this);
     else this.close('connection is not reused');
   }
 
   private settle(result: ExchangeResult): void {
     const {exchange} = this;
     this.exchange = undefined;
+    this.response = undefined;
+    this.parts.budget.release(this);
     exchange?.settle(result);
   }
 }
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -27,6 +27,7 @@
   STOP_RETRY_MS,
   UPSTREAM_DOWN_MS,
 } from '../constants.js';
+import type {RunEnd} from '../request/upstreamRun.js';
 import {UpstreamRun} from '../request/upstreamRun.js';
 import type {
   CallResult,
@@ -182,7 +183,10 @@
       requestClass: call.kind,
     };
     this.apply(this.gate.offer(arrival));
-    return {cancel: () => this.cancel(ticket)};
+    return {
+      cancel: () => this.cancel(ticket),
+      isWaiting: () => this.isWaiting(ticket),
+    };
   }
 
   stop(): void {
@@ -248,9 +252,11 @@
       readMs: () => this.parts.clock.readMs(),
       wire: this.parts.wire,
       pool: this.parts.pool,
-      handle: ({completion, result, isConnectionRefused, isOtherInstance}) => {
+      handle: (end) => {
+        const {completion, result} = end;
+        const {isConnectionRefused, isOtherInstance} = end;
         const elapsedMs = this.parts.clock.readMs() - startedMs;
-        this.recordRun(gateCall.call, upstream.instance, result, elapsedMs);
+        this.recordRun(gateCall.call, upstream.instance, end, elapsedMs);
         if (completion === Completion.SUCCEEDED) this.observeTime(elapsedMs);
         if (isConnectionRefused) this.markDown();
         if (isOtherInstance) this.clearInstance(upstream.instance);
@@ -273,6 +279,11 @@
     this.apply(actions);
   }
 
+  private isWaiting(ticket: string): boolean {
+    const gateCall = this.calls.get(ticket);
+    return gateCall !== undefined && gateCall.run === undefined;
+  }
+
   /**
    * A request that must not be repeated runs to its end: stopping it would
    * leave the upstream's state unknown to everyone.
@@ -336,7 +347,7 @@
   private recordRun(
     call: OutgoingCall,
     instance: string,
-    {end, status, reason}: CallResult,
+    {result: {end, status, reason}, message}: RunEnd,
     elapsedMs: number,
   ): void {
     const isServed = end === SendEnd.RESPONSE && status < FIRST_ERROR_STATUS;
@@ -347,6 +358,7 @@
         instance,
         status,
         reason: reason ?? '',
+        ...(message === '' ? {} : {message}),
         elapsedMs: Math.round(elapsedMs),
         running: this.gate.countRunning(),
         waiting: this.gate.countWaiting(),
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -16,6 +16,7 @@
   WireProtocol,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import {findHeadFault} from './responseHead.js';
 
 /** How a run ended, for the gate and for the sender. */
 export interface RunEnd {
@@ -23,6 +24,8 @@
   readonly result: CallResult;
   readonly isConnectionRefused: boolean;
   readonly isOtherInstance: boolean;
+  /** What was wrong with the connection, for the log. */
+  readonly message: string;
 }
 
 /** What a run is built from. */
@@ -42,23 +45,31 @@
 /** Least time that is worth handing to an upstream, ms. */
 const LEAST_LEFT_MS = 1;
 const INTERNAL_ERROR = 500;
+/** Idle time that no kept connection has. */
+const NEW_CONNECTION = 0;
 
 /** Runs one request; its handler is called once. */
 export class UpstreamRun {
   private connection: UpstreamConnection | undefined;
   private timer: NodeJS.Timeout | undefined;
   private isEnded = false;
+  private isSentAgain = false;
 
   constructor(private readonly parts: UpstreamRunParts) {}
 
   start(): void {
+    const {call, deadlineMs, readMs} = this.parts;
+    this.timer = setTimeout(
+      () => this.expire(),
+      Math.max(LEAST_LEFT_MS, deadlineMs - readMs()) + OVERTIME_MS,
+    );
+    this.send(call.isIdempotent ? UPSTREAM_IDLE_MS : UPSTREAM_IDLE_ONCE_MS);
+  }
+
+  private send(maxIdleMs: number): void {
     const {call, pool, deadlineMs, readMs} = this.parts;
     const leftMs = Math.max(LEAST_LEFT_MS, Math.floor(deadlineMs - readMs()));
-    const maxIdleMs = call.isIdempotent
-      ? UPSTREAM_IDLE_MS
-      : UPSTREAM_IDLE_ONCE_MS;
     this.connection = pool.take(maxIdleMs);
-    this.timer = setTimeout(() => this.expire(), leftMs + OVERTIME_MS);
     const headers = [...call.headers, ...this.buildAdditions(leftMs)];
     this.connection
       .run({
@@ -104,18 +115,30 @@
     if (exchange.end === ExchangeEnd.RESPONSE) {
       this.finishResponse(exchange.status, exchange.headers, exchange.body);
     } else if (exchange.end === ExchangeEnd.NOT_SENT) {
-      this.end(Completion.FAILED, {
-        result: createFailure(
-          SendEnd.REFUSED_BY_GATE,
-          GateReason.UPSTREAM_DOWN,
-        ),
-        isConnectionRefused: true,
-      });
+      this.finishUnsent(exchange.isRefused, exchange.message);
     } else {
-      this.endLost(GateReason.CONNECTION_LOST);
+      this.endLost(exchange.reason, exchange.message);
     }
   }
 
+  /** A kept connection that was reset says nothing about the upstream. */
+  private finishUnsent(isRefused: boolean, message: string): void {
+    if (this.isEnded) return;
+    if (!isRefused && !this.isSentAgain) {
+      this.isSentAgain = true;
+      this.send(NEW_CONNECTION);
+      return;
+    }
+    const reason = isRefused
+      ? GateReason.UPSTREAM_DOWN
+      : GateReason.CONNECTION_LOST;
+    this.end(Completion.FAILED, {
+      result: createFailure(SendEnd.REFUSED_BY_GATE, reason),
+      isConnectionRefused: isRefused,
+      message,
+    });
+  }
+
   private finishResponse(
     status: number,
     headers: HeaderList,
@@ -133,8 +156,12 @@
       return;
     }
     const isVouched = head.isSealed && head.requestId !== undefined;
-    if (!isVouched) {
-      this.endLost(GateReason.BAD_RESPONSE);
+    const fault = isVouched
+      ? findHeadFault(status, headers)
+      : 'no seal or no request id';
+    if (fault !== undefined) {
+      this.connection?.close('response is refused');
+      this.endLost(GateReason.BAD_RESPONSE, fault);
       return;
     }
     const isServed = status < INTERNAL_ERROR;
@@ -150,8 +177,9 @@
     });
   }
 
-  private endLost(reason: GateReason): void {
-    this.end(Completion.FAILED, {result: createFailure(SendEnd.LOST, reason)});
+  private endLost(reason: GateReason, message = ''): void {
+    const result = createFailure(SendEnd.LOST, reason);
+    this.end(Completion.FAILED, {result, message});
   }
 
   private end(
@@ -164,6 +192,7 @@
     this.parts.handle({
       isConnectionRefused: false,
       isOtherInstance: false,
+      message: '',
       ...rest,
       completion,
     });
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -43,6 +43,10 @@
   UPSTREAM_REFUSED = 'upstream-refused',
   CONNECTION_LOST = 'connection-lost',
   BAD_RESPONSE = 'bad-response',
+  /** The upstream sent more than one response may have. */
+  RESPONSE_TOO_LARGE = 'response-too-large',
+  /** Unfinished responses took too much memory together. */
+  MEMORY_FULL = 'memory-full',
   CANCELLED = 'cancelled',
   LINK_LOST = 'link-lost',
   /** The node closes its links; the call has not run and will not. */
@@ -65,6 +69,8 @@
 /** A call that can be given up. */
 export interface PendingCall {
   cancel(): void;
+  /** Whether it waits at the gate, so that its upstream has not seen it. */
+  readonly isWaiting?: () => boolean;
 }
 
 /** Takes the result of a call, once. */
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -46,6 +46,12 @@
     'needsRestart: those that take effect at the next start',
     'cause',
   ),
+  [EventCode.PROCESS_FAILED]: describe(
+    'A fault of the program, or a stop that has no time left; the exit code is not 0.',
+    'cause: uncaughtException, unhandledRejection, stop (it failed) or grace (it took too long)',
+    'message',
+    'stack',
+  ),
   [EventCode.REQUEST_ADMITTED]: describe(
     'A call passed its checks and was offered to the gate.',
     'caller',
@@ -110,6 +116,7 @@
     'instance',
     'status',
     'reason',
+    'message: what was wrong with the connection or the response, if anything',
     'elapsedMs: ms',
     'running',
     'waiting',
