--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -15,6 +15,7 @@
   ResultHandler,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import type {ByteBudget} from './byteBudget.js';
 import type {Frame} from './peerFrames.js';
 import {
   FRAME_REVISION,
@@ -35,6 +36,8 @@
   readonly readConfiguration: () => Uint8Array | undefined;
   readonly listNodes: () => readonly NodeRecord[];
   readonly handleFault: (message: string) => void;
+  /** Bytes of unfinished frames, of all links together. */
+  readonly frameBudget: ByteBudget<FrameReader>;
 }
 
 /** Sends a frame over a link that is open. */
@@ -60,7 +63,14 @@
     handleClose: () => void,
   ) {
     socket.setTimeout(ACCEPTED_SILENCE_MS, () => socket.destroy());
-    const reader = new FrameReader((frame) => this.receive(frame));
+    const reader = new FrameReader({
+      handle: (frame) => this.receive(frame),
+      budget: this.parts.frameBudget,
+      handleExcess: (message) => {
+        this.parts.handleFault(message);
+        socket.destroy();
+      },
+    });
     socket.on('data', (chunk) => {
       // Unread bytes would make the close a reset, which discards results.
       if (this.phase === LinkPhase.ENDED) return;
@@ -76,6 +86,7 @@
       this.parts.handleFault(`link of a peer failed: ${error.message}`);
     });
     socket.on('close', () => {
+      reader.close();
       handleClose();
       for (const call of this.running.values()) call.cancel();
     });
--- a/packages/sidecar/src/connection/linkTesting.ts
+++ b/packages/sidecar/src/connection/linkTesting.ts
@@ -12,6 +12,10 @@
   OutgoingCall,
   ResultHandler,
 } from '../types.js';
+import {ByteBudget} from './byteBudget.js';
+import type {Frame} from './peerFrames.js';
+import {FrameReader} from './peerFrames.js';
+import type {LinkEvents} from './peerLink.js';
 import {PeerLink} from './peerLink.js';
 import {PeerServer} from './peerServer.js';
 
@@ -56,6 +60,16 @@
   stop(): void;
 }
 
+/** A budget that no test uses up. */
+export function createFrameBudget(): ByteBudget<FrameReader> {
+  return new ByteBudget(Infinity);
+}
+
+export function createFrameReader(handle: (frame: Frame) => void): FrameReader {
+  const budget = createFrameBudget();
+  return new FrameReader({handle, budget, handleExcess: () => undefined});
+}
+
 export function createNode(node: string, address: Address): NodeRecord {
   return {
     node,
@@ -121,6 +135,7 @@
     readConfiguration: () => undefined,
     listNodes: () => [],
     handleFault: (message) => faults.push(message),
+    frameBudget: createFrameBudget(),
   });
   await server.listen(address.host, address.port);
   return {server, address, taken, faults};
@@ -130,7 +145,7 @@
 export async function openLink(address: Address): Promise<TestLink> {
   const closings: number[] = [];
   const self = createNode('origin', {host: HOST, port: 1});
-  const link = new PeerLink(createNode('peer', address), systemClock, {
+  const events: LinkEvents = {
     describeSelf: () => ({node: self, report: REPORT}),
     handleReport: () => undefined,
     handleHello: () => undefined,
@@ -138,7 +153,9 @@
     handleUp: () => undefined,
     handleDown: () => undefined,
     handleClosing: (_link, calls) => closings.push(calls),
-  });
+  };
+  const node = createNode('peer', address);
+  const link = new PeerLink(node, systemClock, events, createFrameBudget());
   const timer = setInterval(() => link.tick(), TICK_MS);
   const stop = () => {
     clearInterval(timer);
