Start nothing late that may outlast a stop, and listen as long as told

And where the signal was handled late, the listener closed early by the same time, before clients had missed two readiness checks; the linger now counts from the handling, the end of the stop still from the signal. Both decisions have a unit test in stopSchedule.test.ts, which the code before lacked.

--- a/packages/sidecar/src/process/upstreamTask.test.ts
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -36,6 +36,7 @@
       () => undefined,
     ),
     hasTimeFor: () => true,
+    hasTimeToStart: () => true,
     parameters: GOODPUT_PARAMETERS,
     report: () => undefined,
     record: () => undefined,
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -53,6 +53,8 @@
   readonly record: EventRecorder;
   /** Whether a call that arrives now ends before the node does. */
   readonly hasTimeFor: (deadlineMs: number) => boolean;
+  /** The same for a call that has waited at the gate. */
+  readonly hasTimeToStart: (deadlineMs: number) => boolean;
   /** Called when the upstream becomes available, leaves or is lost. */
   readonly handleChange: () => void;
 }
@@ -240,7 +242,9 @@
   }
 
   private start(gateCall: GateCall): void {
-    const obstacle = this.findObstacle(gateCall.call);
+    const obstacle = this.parts.hasTimeToStart(gateCall.deadlineMs)
+      ? this.findObstacle(gateCall.call)
+      : GateReason.NODE_STOPPING;
     const upstream = this.parts.presence.read();
     if (obstacle || !upstream) {
       const reason = obstacle ?? GateReason.UPSTREAM_DOWN;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -88,7 +88,9 @@
 
   private async runStop(signal: string, startedMs: number): Promise<void> {
     const {parts} = this;
-    const schedule = new StopSchedule(startedMs, parts.settings.graceMs);
+    const {graceMs} = parts.settings;
+    const handledMs = parts.clock.readMs();
+    const schedule = new StopSchedule(startedMs, graceMs, handledMs);
     parts.lifecycle.stop = schedule;
     parts.record(EventCode.NODE_LEAVING, {cause: signal});
     parts.peerServer.announceReport();
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -176,6 +176,8 @@
     presence: container.get<UpstreamPresence>(TOKENS.presence),
     callParents: new CallParents(),
     pool: container.get<UpstreamPool>(TOKENS.pool),
+    hasTimeToStart: (deadlineMs) =>
+      lifecycle.stop?.hasTimeToStart(clock.readMs(), deadlineMs) ?? true,
     hasTimeFor: (deadlineMs) =>
       lifecycle.stop?.hasTimeFor(clock.readMs(), deadlineMs) ?? true,
     parameters: {
--- a/packages/sycamoreyoke/src/process/stopSchedule.test.ts
+++ b/packages/sycamoreyoke/src/process/stopSchedule.test.ts
@@ -20,6 +20,26 @@
   expect(schedule.hasTimeFor(1_000 + 3_000, answerMs)).to.equal(false);
 });
 
+// Guards against a queued call that starts shortly before the end of a stop and
+// is broken off.
+it('stop starts late only what ends before it', () => {
+  const lateMs = 1_000 + 3_000;
+  const {answerMs} = schedule;
+  expect(schedule.hasTimeToStart(1_000 + 2_000, answerMs + 1)).to.equal(true);
+  expect(schedule.hasTimeToStart(lateMs, answerMs)).to.equal(true);
+  expect(schedule.hasTimeToStart(lateMs, answerMs + 1)).to.equal(false);
+});
+
+// Guards against a listener that closes before clients know of the stop because
+// the signal was handled late.
+it('stop listens as long after a signal that was handled late', () => {
+  const late = new StopSchedule(1_000, GRACE_MS, 1_600);
+  expect(late.isListening(1_600 + 2_400, false)).to.equal(true);
+  expect(late.isListening(1_600 + 2_600, false)).to.equal(false);
+  const never = new StopSchedule(1_000, GRACE_MS, 1_000 + GRACE_MS);
+  expect(never.isListening(1_000 + GRACE_MS, true)).to.equal(false);
+});
+
 // Guards against connections that are refused while a running request calls.
 it('stop listens on while requests run, and leaves time to answer', () => {
   const times = [2_400, 2_600, 3_900, 4_100].map((ms) => 1_000 + ms);
--- a/packages/sycamoreyoke/src/process/stopSchedule.ts
+++ b/packages/sycamoreyoke/src/process/stopSchedule.ts
@@ -27,8 +27,12 @@
   readonly exitMs: number;
   private readonly takeUntilMs: number;
 
-  constructor(startedMs: number, graceMs: number) {
-    this.lingerUntilMs = startedMs + LINGER_SHARE * graceMs;
+  /**
+   * The end counts from the time at which the signal was sent. The listener
+   * stays open for as long after the node has ceased to say that it is ready.
+   */
+  constructor(startedMs: number, graceMs: number, handledMs = startedMs) {
+    this.lingerUntilMs = handledMs + LINGER_SHARE * graceMs;
     this.takeUntilMs = startedMs + TAKE_SHARE * graceMs;
     this.answerMs = startedMs + ANSWER_SHARE * graceMs;
     this.callsUntilMs = this.answerMs - REPLY_SHARE * graceMs;
@@ -48,8 +52,14 @@
     return this.isTaking(nowMs) && deadlineMs <= this.answerMs;
   }
 
+  /** Whether a call that waits at the gate may still start. */
+  hasTimeToStart(nowMs: number, deadlineMs: number): boolean {
+    return this.isTaking(nowMs) || deadlineMs <= this.answerMs;
+  }
+
   /** Whether the listener accepts connections. */
   isListening(nowMs: number, hasRunningCalls: boolean): boolean {
+    if (nowMs >= this.answerMs) return false;
     if (nowMs < this.lingerUntilMs) return true;
     return hasRunningCalls && nowMs < this.callsUntilMs;
   }
