Keep the harness of link tests in a test file

linkTesting.ts was a module of the package that only tests use. It is named like spreadHarness.test.ts now.

--- a/packages/sidecar/src/connection/linkClose.test.ts
+++ b/packages/sidecar/src/connection/linkClose.test.ts
@@ -4,7 +4,7 @@
 import {Packr} from 'msgpackr';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import type {CallResult} from '../types.js';
-import type {TestLink, TestNode} from './linkTesting.js';
+import type {TestLink, TestNode} from './linkHarness.test.js';
 import {
   HOST,
   REPORT,
@@ -18,7 +18,7 @@
   openSlowProxy,
   sendCall,
   waitFor,
-} from './linkTesting.js';
+} from './linkHarness.test.js';
 import type {Frame} from './peerFrames.js';
 import {FRAME_REVISION, FrameKind, encodeFrame} from './peerFrames.js';
 
--- a/packages/sidecar/src/connection/linkLoss.test.ts
+++ b/packages/sidecar/src/connection/linkLoss.test.ts
@@ -14,7 +14,7 @@
   openSlowProxy,
   sendCall,
   waitFor,
-} from './linkTesting.js';
+} from './linkHarness.test.js';
 import {FRAME_REVISION, FrameKind, encodeFrame} from './peerFrames.js';
 
 const LARGE_BYTES = 8 * 1024 * 1024;
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -11,7 +11,7 @@
   createNode,
   openRawServer,
   waitFor,
-} from '../connection/linkTesting.js';
+} from '../connection/linkHarness.test.js';
 import {
   FRAME_REVISION,
   FrameKind,
--- a/packages/sidecar/src/process/upstreamTask.test.ts
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -4,7 +4,7 @@
 import {CallParents} from 'sycamoreyoke/process/callParents';
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
 import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
-import {HOST, createCall, listen} from '../connection/linkTesting.js';
+import {HOST, createCall, listen} from '../connection/linkHarness.test.js';
 import {UpstreamPool} from '../connection/upstreamPool.js';
 import type {CallResult} from '../types.js';
 import {UpstreamTask} from './upstreamTask.js';
