Log what tells late configurations and repeated crashes apart

Cause: the log says when a version came into force, but not since when a peer had it, which call to the store hung before it, or whether a peer was asked; of a request that was lost with its connection it names the attempt only, so that attempts of one crashing request with new ids can't be joined.

Change: CONFIGURATION_ADOPTED and the new CONFIGURATION_ASKED carry the time since a peer first had the version, STORE_CALL_FAILED each failed call with the time since the last answer, and UPSTREAM_RUN_FAILED the hash of the content of a request without an answer. No decision changes.

--- a/packages/sidecar/src/process/configurationTask.ts
+++ b/packages/sidecar/src/process/configurationTask.ts
@@ -1,4 +1,5 @@
 /** Owns the configuration in force; it never goes back to an older version. */
+import type {Clock} from 'sycamoreyoke/clock';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Frame} from '../connection/peerFrames.js';
@@ -18,6 +19,7 @@
 
 /** What the task is built from. */
 export interface ConfigurationTaskParts {
+  readonly clock: Clock;
   readonly decode: ConfigurationDecoder;
   readonly record: EventRecorder;
   readonly handleChange: () => void;
@@ -29,6 +31,8 @@
 export class ConfigurationTask {
   private current: VersionedConfiguration | undefined;
   private peerTimer: NodeJS.Timeout | undefined;
+  /** Since when a peer has had a newer version. */
+  private behindSinceMs: number | undefined;
 
   constructor(private readonly parts: ConfigurationTaskParts) {}
 
@@ -72,7 +76,9 @@
       version: offered,
       source,
       routes,
+      behindMs: this.measureBehind(),
     });
+    this.behindSinceMs = undefined;
     this.parts.handleChange();
   }
 
@@ -81,15 +87,27 @@
    * not, the connection to it may be silent, and the peer is asked.
    */
   handlePeerVersion(version: number, send: (frame: Frame) => void): void {
-    if (version <= this.readVersion() || this.peerTimer) return;
+    if (version <= this.readVersion()) return;
+    this.behindSinceMs ??= this.parts.clock.readMs();
+    if (this.peerTimer) return;
     this.peerTimer = setTimeout(() => {
       this.peerTimer = undefined;
       if (version <= this.readVersion()) return;
+      this.parts.record(EventCode.CONFIGURATION_ASKED, {
+        version: this.readVersion(),
+        wanted: version,
+        behindMs: this.measureBehind(),
+      });
       send({kind: FrameKind.GET_CONFIGURATION});
       this.parts.handleStoreLate();
     }, PEER_VERSION_WAIT_MS);
   }
 
+  private measureBehind(): number {
+    const nowMs = this.parts.clock.readMs();
+    return Math.round(nowMs - (this.behindSinceMs ?? nowMs));
+  }
+
   stop(): void {
     clearTimeout(this.peerTimer);
   }
--- a/packages/sidecar/src/process/storeFollower.ts
+++ b/packages/sidecar/src/process/storeFollower.ts
@@ -1,4 +1,5 @@
 /** Follows one table of the store: lists it, then waits for its changes. */
+import type {Clock} from 'sycamoreyoke/clock';
 import {SycamoreyokeError} from 'sycamoreyoke/errors';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
@@ -10,6 +11,7 @@
 
 /** What a follower is built from. */
 export interface StoreFollowerParts {
+  readonly clock: Clock;
   readonly store: FleetStore;
   readonly table: StoreTable;
   readonly record: EventRecorder;
@@ -27,8 +29,11 @@
   private version: number | undefined;
   private retryMs = STORE_RETRY_MIN_MS;
   private abort = new AbortController();
+  private answeredMs: number;
 
-  constructor(private readonly parts: StoreFollowerParts) {}
+  constructor(private readonly parts: StoreFollowerParts) {
+    this.answeredMs = parts.clock.readMs();
+  }
 
   /** Whether the last call to the store was answered. */
   hasContact(): boolean {
@@ -89,8 +94,10 @@
       record(EventCode.STORE_HISTORY_LOST, {table});
       return;
     }
+    const {message} = error;
+    const silentMs = Math.round(this.parts.clock.readMs() - this.answeredMs);
+    record(EventCode.STORE_CALL_FAILED, {table, message, silentMs});
     if (this.isReachable) {
-      const {message} = error;
       record(EventCode.PLATFORM_UNAVAILABLE, {table, message});
     }
     this.isReachable = false;
@@ -105,6 +112,7 @@
       });
     }
     this.isReachable = true;
+    this.answeredMs = this.parts.clock.readMs();
     this.retryMs = STORE_RETRY_MIN_MS;
   }
 }
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -15,6 +15,7 @@
   UpstreamPresence,
 } from 'sycamoreyoke/process/upstreamPresence';
 import {PresenceChange} from 'sycamoreyoke/process/upstreamPresence';
+import {identifyContent} from 'sycamoreyoke/request/contentIdentity';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import type {Importance} from 'sycamoreyoke/types';
 import {RefusalReason} from 'sycamoreyoke/types';
@@ -367,6 +368,7 @@
         status,
         reason: reason ?? '',
         ...(message === '' ? {} : {message}),
+        ...(end === SendEnd.LOST ? {content: identifyContent(call)} : {}),
         elapsedMs: Math.round(elapsedMs),
         running: this.gate.countRunning(),
         waiting: this.gate.countWaiting(),
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -161,6 +161,7 @@
   };
 
   const configuration: ConfigurationTask = new ConfigurationTask({
+    clock,
     decode: adapter.decodeConfiguration,
     record,
     handleChange: () => lifecycle.handleConfiguration(),
@@ -253,6 +254,7 @@
     frameBudget,
   });
   const configurationFollower = new StoreFollower({
+    clock,
     store,
     table: StoreTable.CONFIGURATION,
     record,
@@ -261,6 +263,7 @@
     pauseMs: 0,
   });
   const nodeFollower: StoreFollower = new StoreFollower({
+    clock,
     store,
     table: StoreTable.NODES,
     record,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -117,6 +117,7 @@
     'status',
     'reason',
     'message: what was wrong with the connection or the response, if anything',
+    'content: the same for attempts with the same content; without an answer',
     'elapsedMs: ms',
     'running',
     'waiting',
@@ -220,6 +221,8 @@
     'A newer configuration is in force.',
     'version',
     'source',
+    'routes',
+    'behindMs: time since a peer first had it or a later one, ms',
   ),
   [EventCode.CONFIGURATION_STALE_REFUSED]: describe(
     'An older configuration was offered and refused.',
@@ -227,6 +230,12 @@
     'offered',
     'source',
   ),
+  [EventCode.CONFIGURATION_ASKED]: describe(
+    'A peer was asked for its newer configuration.',
+    'version',
+    'wanted: version of the peer',
+    'behindMs: time since a peer first had a newer one, ms',
+  ),
   [EventCode.UPSTREAM_CRASHED]: describe(
     'The upstream process ended while requests ran.',
     'inFlight: requests',
@@ -278,6 +287,12 @@
     'Log lines that the budget of the last second had no room for.',
     'lines',
   ),
+  [EventCode.STORE_CALL_FAILED]: describe(
+    'A call to the store was not answered as it should be.',
+    'table',
+    'message',
+    'silentMs: time since its last answer, ms',
+  ),
   [EventCode.INVARIANT_VIOLATED]: describe(
     'An invariant of the design does not hold. Report it as a bug.',
     'invariant',
