Refuse requests that crash upstreams, whatever id an attempt has

Cause: the library's crash register is wired in packages/node only. The sidecar forgot a crash with the request, and its identity there would have been the id of the attempt, which is new each time.

Change: a gate that loses a connection opens another one; where nothing listens, or a later start reports, the runs without an answer are suspects, by a hash of service, method, path and body. Suspects go over links within the service, come first on each new link, and a refused request is a row of the store that is read at the start. A gate refuses (503 if nothing ran), the origin asks no other gate. An answer of an upstream clears a request.

--- a/packages/node/src/process/upstreamTask.ts
+++ b/packages/node/src/process/upstreamTask.ts
@@ -38,7 +38,8 @@
     if (inFlight.length === 0) return;
     this.crashCount += 1;
     const crashId = `${parts.incarnation.slice(0, 32)}-${this.crashCount}`;
-    parts.crashes.recordCrash(crashId, inFlight, parts.computeSends());
+    const identities = inFlight.map(formatIdentity);
+    parts.crashes.recordCrash(crashId, identities, parts.computeSends());
     for (const identity of inFlight) {
       parts.record(
         EventCode.REQUEST_SUSPECTED,
--- a/packages/node/src/request/callHandler.ts
+++ b/packages/node/src/request/callHandler.ts
@@ -4,7 +4,12 @@
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {SendAnswer} from 'sycamoreyoke/request/outcome';
 import type {CallHeaders} from 'sycamoreyoke/request/types';
-import {Outcome, RefusalReason, RepeatGuard} from 'sycamoreyoke/types';
+import {
+  Outcome,
+  RefusalReason,
+  RepeatGuard,
+  formatIdentity,
+} from 'sycamoreyoke/types';
 import type {NodeParts} from '../process/nodeParts.js';
 import {deliverCall} from './egressCall.js';
 import {sendAnswer} from './httpExchange.js';
@@ -108,7 +113,7 @@
   else if (!isResend(call)) {
     throw createRefusal(refusal, `the node is ${parts.lifecycle.get()}`);
   }
-  const verdict = parts.crashes.check(call.identity);
+  const verdict = parts.crashes.check(formatIdentity(call.identity));
   if (verdict.isRefused) {
     throw createRefusal(
       RefusalReason.CRASHING,
--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -1,5 +1,6 @@
 /** A link that another node has dialled, and the calls that run for it. */
 import type {Socket} from 'node:net';
+import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   ACCEPTED_SILENCE_MS,
@@ -22,6 +23,7 @@
   FrameKind,
   FrameReader,
   GOODBYE_REVISION,
+  TOLERANT_REVISION,
   sendFrame,
 } from './peerFrames.js';
 import {createClosingRefusal, createFailure} from './peerLink.js';
@@ -36,6 +38,8 @@
   readonly readConfiguration: () => Uint8Array | undefined;
   readonly listNodes: () => readonly NodeRecord[];
   readonly handleFault: (message: string) => void;
+  readonly listSuspects: () => readonly CrashSuspect[];
+  readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
   /** Bytes of unfinished frames, of all links together. */
   readonly frameBudget: ByteBudget<FrameReader>;
 }
@@ -55,6 +59,8 @@
 export class AcceptedLink {
   private phase = LinkPhase.OPEN;
   private peerRevision = 0;
+  /** The node at the other end is of the same service. */
+  private isSameService = false;
   private readonly running = new Map<number, PendingCall>();
 
   constructor(
@@ -97,6 +103,13 @@
     this.send({kind: FrameKind.REPORT, report: this.describeReport()});
   }
 
+  /** Tells a node of the service of requests that were in flight at crashes. */
+  sendSuspects(suspects: readonly CrashSuspect[]): void {
+    const isUnderstood = this.peerRevision >= TOLERANT_REVISION;
+    if (!this.isSameService || !isUnderstood || suspects.length === 0) return;
+    this.send({kind: FrameKind.SUSPECTS, suspects});
+  }
+
   /** Refuses new calls and ends the link after the last result. */
   close(): void {
     if (this.phase !== LinkPhase.OPEN) return;
@@ -156,6 +169,10 @@
     switch (frame.kind) {
       case FrameKind.HELLO:
         this.peerRevision = frame.revision;
+        this.isSameService =
+          frame.node.service === this.parts.describeSelf().node.service;
+        // Before the HELLO, with which the peer may count as started.
+        this.sendSuspects(this.parts.listSuspects());
         send({
           kind: FrameKind.HELLO,
           node: this.parts.describeSelf().node,
@@ -183,6 +200,9 @@
       case FrameKind.CONFIGURATION:
         this.parts.handleConfiguration(frame.content);
         return;
+      case FrameKind.SUSPECTS:
+        this.parts.handleSuspects(frame.suspects);
+        return;
       case FrameKind.GET_NODES:
         send({kind: FrameKind.NODES, nodes: this.parts.listNodes()});
         return;
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -132,6 +132,8 @@
     handleHello: () => undefined,
     handlePeerVersion: () => undefined,
     handleConfiguration: () => undefined,
+    listSuspects: () => [],
+    handleSuspects: () => undefined,
     readConfiguration: () => undefined,
     listNodes: () => [],
     handleFault: (message) => faults.push(message),
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -3,6 +3,7 @@
 import {Packr} from 'msgpackr';
 import {SycamoreyokeError} from 'sycamoreyoke/errors';
 import {MAX_FRAME_BYTES} from '../constants.js';
+import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import type {SendEnd} from 'sycamoreyoke/request/resend';
 import type {Importance} from 'sycamoreyoke/types';
 import type {
@@ -29,6 +30,8 @@
   NODES = 10,
   /** Calls without a result by now have not run and will not. */
   GOODBYE = 11,
+  /** Requests that were in flight at crashes of upstreams of the service. */
+  SUSPECTS = 12,
 }
 
 /**
@@ -38,6 +41,8 @@
 export const FRAME_REVISION = 1;
 /** First revision with GOODBYE. */
 export const GOODBYE_REVISION = 1;
+/** First revision that passes over kinds which it does not know. */
+export const TOLERANT_REVISION = 1;
 
 /** A message between two nodes. */
 export type Frame =
@@ -65,7 +70,11 @@
   | {readonly kind: FrameKind.CONFIGURATION; readonly content: Uint8Array}
   | {readonly kind: FrameKind.GET_NODES}
   | {readonly kind: FrameKind.NODES; readonly nodes: readonly NodeRecord[]}
-  | {readonly kind: FrameKind.GOODBYE};
+  | {readonly kind: FrameKind.GOODBYE}
+  | {
+      readonly kind: FrameKind.SUSPECTS;
+      readonly suspects: readonly CrashSuspect[];
+    };
 
 const LENGTH_BYTES = 4;
 const packr = new Packr({useRecords: false});
@@ -194,6 +203,12 @@
   body: Uint8Array,
 ];
 
+type CrashFields = readonly [
+  crashId: string,
+  inFlight: number,
+  identities: readonly string[],
+];
+
 function buildFields(frame: Frame): Fields {
   const {kind} = frame;
   switch (kind) {
@@ -222,6 +237,8 @@
       return [kind, frame.content];
     case FrameKind.NODES:
       return [kind, frame.nodes.map(buildNode)];
+    case FrameKind.SUSPECTS:
+      return [kind, buildCrashes(frame.suspects)];
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
     case FrameKind.GOODBYE:
@@ -264,6 +281,8 @@
       return {kind, content: first as Uint8Array};
     case FrameKind.NODES:
       return {kind, nodes: (first as readonly NodeFields[]).map(readNode)};
+    case FrameKind.SUSPECTS:
+      return {kind, suspects: readCrashes(first as readonly CrashFields[])};
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
     case FrameKind.GOODBYE:
@@ -284,6 +303,23 @@
   return {node, incarnation, service, dataCentre, address: {host, port}};
 }
 
+/** Suspects of one crash share its id. */
+function buildCrashes(suspects: readonly CrashSuspect[]): CrashFields[] {
+  const crashes = new Map<string, [string, number, string[]]>();
+  for (const {crashId, inFlight, identity} of suspects) {
+    const crash = crashes.get(crashId) ?? [crashId, inFlight, []];
+    crash[2].push(identity);
+    crashes.set(crashId, crash);
+  }
+  return [...crashes.values()];
+}
+
+function readCrashes(crashes: readonly CrashFields[]): CrashSuspect[] {
+  return crashes.flatMap(([crashId, inFlight, identities]) =>
+    identities.map((identity) => ({crashId, inFlight, identity})),
+  );
+}
+
 function buildReport({configurationVersion, load}: NodeReport): ReportFields {
   return [
     configurationVersion,
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
+import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   AVOID_MS,
@@ -29,6 +30,7 @@
   FRAME_REVISION,
   FrameKind,
   FrameReader,
+  TOLERANT_REVISION,
   sendFrame,
 } from './peerFrames.js';
 
@@ -75,6 +77,7 @@
   lostMs: number;
   private socket: Socket | undefined;
   private isUp = false;
+  private peerRevision = 0;
   private isStopped = false;
   private isRetired = false;
   private heardMs = 0;
@@ -125,6 +128,12 @@
     if (this.socket && this.isUp) sendFrame(this.socket, frame);
   }
 
+  /** Tells the node of requests that were in flight at crashes. */
+  sendSuspects(suspects: readonly CrashSuspect[]): void {
+    if (this.peerRevision < TOLERANT_REVISION || suspects.length === 0) return;
+    this.write({kind: FrameKind.SUSPECTS, suspects});
+  }
+
   /** Sends nothing more, and closes once all results have arrived. */
   retire(): void {
     this.isRetired = true;
@@ -227,6 +236,7 @@
     switch (frame.kind) {
       case FrameKind.HELLO:
         this.isUp = true;
+        this.peerRevision = frame.revision;
         this.redialMs = REDIAL_MIN_MS;
         this.updateReport(frame.report);
         this.events.handleHello(this, frame.node);
--- a/packages/sidecar/src/connection/peerServer.ts
+++ b/packages/sidecar/src/connection/peerServer.ts
@@ -1,6 +1,7 @@
 /** Accepts links of other nodes and closes them at the end of the process. */
 import type {Server, Socket} from 'node:net';
 import {createServer} from 'node:net';
+import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {CLOSING_FLUSH_MS} from '../constants.js';
 import type {AcceptedLinkParts} from './acceptedLink.js';
 import {AcceptedLink} from './acceptedLink.js';
@@ -34,6 +35,11 @@
     for (const link of this.links) link.sendReport();
   }
 
+  /** Tells the nodes of the service that call this one. */
+  sendSuspects(suspects: readonly CrashSuspect[]): void {
+    for (const link of this.links) link.sendSuspects(suspects);
+  }
+
   /**
    * Refuses calls from now on, ends each link after the result of its last call
    * and waits until the peers have read all of it, for the given time at most.
--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -46,6 +46,8 @@
       readonly end: ExchangeEnd.NOT_SENT;
       /** The upstream did not accept the connection. */
       readonly isRefused: boolean;
+      /** Nothing listens at its address. */
+      readonly hasNoListener: boolean;
       readonly message: string;
     }
   | {
@@ -75,6 +77,8 @@
   readonly handleIdle: (connection: UpstreamConnection) => void;
   /** Called with bytes for which no request waits. */
   readonly handleUnasked: (message: string) => void;
+  /** Called when the upstream could not be connected to. */
+  readonly handleConnectFailure?: (hasNoListener: boolean) => void;
 }
 
 const NO_BODY_STATUSES = new Set([204, 304]);
@@ -86,6 +90,7 @@
   private exchange: RunningExchange | undefined;
   private response: PartialResponse | undefined;
   private isConnected = false;
+  private hasNoListener = false;
   private isClosed = false;
   /** Whether bytes of the request may have reached the upstream. */
   private isSent = false;
@@ -107,11 +112,15 @@
     this.socket.on('connect', () => {
       this.isConnected = true;
       this.socket.setTimeout(0);
-      this.send();
+      if (this.exchange) this.send();
+      else this.offerIdle();
     });
     this.socket.on('data', (chunk) => this.receive(chunk));
     this.socket.on('end', () => this.finishStream());
-    this.socket.on('error', (error) => this.close(error.message));
+    this.socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.hasNoListener = error.code === 'ECONNREFUSED';
+      this.close(error.message);
+    });
     this.socket.on('close', () => this.close('connection closed'));
   }
 
@@ -120,7 +129,7 @@
     return new Promise((resolve) => {
       if (this.isClosed) {
         const message = 'connection was closed while idle';
-        resolve({end: ExchangeEnd.NOT_SENT, isRefused: false, message});
+        resolve(createUnsent(message));
         return;
       }
       const bytes = {received: 0, body: 0};
@@ -142,13 +151,21 @@
     this.isClosed = true;
     this.socket.destroy();
     const isRefused = !this.isConnected;
+    const {hasNoListener} = this;
+    if (isRefused) this.parts.handleConnectFailure?.(hasNoListener);
     this.settle(
       this.isSent
         ? {end: ExchangeEnd.LOST, reason, message}
-        : {end: ExchangeEnd.NOT_SENT, isRefused, message},
+        : {...createUnsent(message), isRefused, hasNoListener},
     );
   }
 
+  /** A connection that was opened without a request can take one. */
+  private offerIdle(): void {
+    this.idleSinceMs = this.parts.readMs();
+    this.parts.handleIdle(this);
+  }
+
   private send(): void {
     if (!this.exchange) return;
     const {request} = this.exchange;
@@ -258,6 +275,15 @@
   }
 }
 
+function createUnsent(message: string) {
+  return {
+    end: ExchangeEnd.NOT_SENT,
+    isRefused: false,
+    hasNoListener: false,
+    message,
+  } as const;
+}
+
 function renderHead({method, path, headers, body}: UpstreamRequest): string {
   let head = `${method} ${path} HTTP/1.1\r\n`;
   for (let index = 0; index < headers.length; index += 2) {
--- a/packages/sidecar/src/connection/upstreamPool.ts
+++ b/packages/sidecar/src/connection/upstreamPool.ts
@@ -29,12 +29,26 @@
       if (connection.isReusable(Infinity)) this.idle.push(connection);
       else connection.close('idle for too long');
     }
+    return this.open();
+  }
+
+  /** Opens a connection for later; tells when nothing listens any more. */
+  probe(handleNoListener: () => void): void {
+    this.open((hasNoListener) => {
+      if (hasNoListener) handleNoListener();
+    });
+  }
+
+  private open(
+    handleConnectFailure?: (hasNoListener: boolean) => void,
+  ): UpstreamConnection {
     return new UpstreamConnection({
       address: this.address,
       readMs: this.readMs,
       budget: this.budget,
       handleIdle: (connection) => this.idle.push(connection),
       handleUnasked: this.handleUnasked,
+      ...(handleConnectFailure ? {handleConnectFailure} : {}),
     });
   }
 
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -63,6 +63,9 @@
 /** Time for which an upstream counts as down after it refused a connection. */
 export const UPSTREAM_DOWN_MS = 300;
 
+/** Least time between connections that are opened to tell a crash, ms. */
+export const PROBE_PAUSE_MS = 100;
+
 /** Share of the announced slots that run at once; an upstream slows down when
  * its last slots fill, and new connections hold slots too. */
 export const SLOT_SHARE = 0.95;
@@ -72,6 +75,8 @@
 export const GATE_TICK_MS = 20;
 /** Slots assumed until the upstream's first heartbeat. */
 export const DEFAULT_SLOTS = 1;
+/** Suspects of crashes that a node tells another one at once. */
+export const MAX_SPREAD_SUSPECTS = 4_096;
 /** Part of the drain bound in which queued requests may still start. */
 export const DRAIN_START_SHARE = 0.6;
 
--- a/packages/sidecar/src/process/fleetTask.ts
+++ b/packages/sidecar/src/process/fleetTask.ts
@@ -40,7 +40,7 @@
   async announce(): Promise<void> {
     const {store, self, encodeNode, record} = this.parts;
     try {
-      await store.writeNode(self.node, encodeNode(self));
+      await store.writeRow(self.node, encodeNode(self));
     } catch (error) {
       if (this.isStopped) return;
       const {message} = error as Error;
@@ -105,7 +105,7 @@
       if (version === undefined) continue;
       record(EventCode.MEMBER_DEAD, {member, cause: 'unreachable'});
       try {
-        await store.removeNode(member, version);
+        await store.removeRow(member, version);
       } catch (error) {
         const {message} = error as Error;
         record(EventCode.NODE_ROW_DELAYED, {message});
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -66,6 +66,8 @@
     handleNode: () => undefined,
     handleReplaced: () => undefined,
     needsNodes: () => false,
+    listSuspects: () => [],
+    handleSuspects: () => undefined,
     frameBudget: createFrameBudget(),
   });
 }
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -1,5 +1,6 @@
 /** Owns the links to other nodes and chooses the node for each call. */
 import type {Clock} from 'sycamoreyoke/clock';
+import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {
@@ -46,6 +47,8 @@
   readonly handleNode: (node: NodeRecord) => void;
   /** Another node answers at the address of this one. */
   readonly handleReplaced: (node: NodeRecord) => void;
+  readonly listSuspects: () => readonly CrashSuspect[];
+  readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
   /** Whether the node list has to come from peers now. */
   readonly needsNodes: () => boolean;
   /** Bytes of unfinished frames, of all links together. */
@@ -141,6 +144,14 @@
     return chosen && this.createChosen(chosen.node);
   }
 
+  /** Tells the nodes of the own service that this one calls. */
+  sendSuspects(suspects: readonly CrashSuspect[]): void {
+    const {service} = this.parts.self;
+    for (const link of this.linksByService.get(service) ?? []) {
+      link.sendSuspects(suspects);
+    }
+  }
+
   /** Nodes that have not answered for a time. */
   listUnreachable(silentMs: number): ReadonlySet<string> {
     const nowMs = this.parts.clock.readMs();
@@ -255,11 +266,16 @@
     handleHello: (link, node) => {
       if (!isSameProcess(node, link.node)) this.parts.handleNode(node);
       if (node.node !== link.node.node) this.parts.handleReplaced(link.node);
+      if (node.service === this.parts.self.service) {
+        link.sendSuspects(this.parts.listSuspects());
+      }
       if (this.parts.needsNodes()) link.write({kind: FrameKind.GET_NODES});
     },
     handleFrame: (_link, frame) => {
       if (frame.kind === FrameKind.CONFIGURATION) {
         this.parts.handleConfiguration(frame.content);
+      } else if (frame.kind === FrameKind.SUSPECTS) {
+        this.parts.handleSuspects(frame.suspects);
       } else if (frame.kind === FrameKind.NODES) {
         for (const node of frame.nodes) this.parts.handleNode(node);
       }
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -15,7 +15,6 @@
   UpstreamPresence,
 } from 'sycamoreyoke/process/upstreamPresence';
 import {PresenceChange} from 'sycamoreyoke/process/upstreamPresence';
-import {identifyContent} from 'sycamoreyoke/request/contentIdentity';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import type {Importance} from 'sycamoreyoke/types';
 import {RefusalReason} from 'sycamoreyoke/types';
@@ -25,7 +24,7 @@
   DEFAULT_SLOTS,
   DRAIN_START_SHARE,
   GATE_TICK_MS,
-  STOP_RETRY_MS,
+  PROBE_PAUSE_MS,
   UPSTREAM_DOWN_MS,
 } from '../constants.js';
 import type {RunEnd} from '../request/upstreamRun.js';
@@ -38,7 +37,22 @@
   WireProtocol,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import type {CrashTask} from './crashTask.js';
+import type {Obstacle} from './obstacle.js';
+import {STOPPING, createObstacle} from './obstacle.js';
 import {SlotLimiter} from './slotLimiter.js';
+import {recordPresence, recordRefusal, recordRun} from './upstreamLog.js';
+
+/** What the task needs of the knowledge of crashes. */
+export type CrashGuard = Pick<
+  CrashTask,
+  | 'check'
+  | 'observeAnswer'
+  | 'observeRefusal'
+  | 'observeUnanswered'
+  | 'recordCrash'
+  | 'recordPlannedEnd'
+>;
 
 /** What the task is built from. */
 export interface UpstreamTaskParts {
@@ -49,6 +63,7 @@
   readonly presence: UpstreamPresence;
   readonly callParents: CallParents;
   readonly pool: UpstreamPool;
+  readonly crashes: CrashGuard;
   readonly parameters: GateParameters;
   readonly report: InvariantReporter;
   readonly record: EventRecorder;
@@ -81,8 +96,6 @@
 
 /** Weight of a new sample in the mean service time. */
 const SERVICE_WEIGHT = 0.05;
-/** Lowest status that tells of a failure of the upstream. */
-const FIRST_ERROR_STATUS = 500;
 
 /** Admits calls within the limit and runs them on the upstream. */
 export class UpstreamTask {
@@ -91,6 +104,7 @@
   private readonly calls = new Map<string, GateCall>();
   private nextTicket = 1;
   private downUntilMs = 0;
+  private probedMs = -Infinity;
   private meanServiceMs = 0;
   private timer: NodeJS.Timeout | undefined;
 
@@ -137,16 +151,20 @@
 
   /** Takes a heartbeat in; says whether it belongs to this upstream. */
   observeHeartbeat(heartbeat: UpstreamHeartbeat): PresenceChange {
+    const isPlanned = this.isPastDrain();
     const change = this.parts.presence.observe(heartbeat);
     const {instance, slots, sequence} = heartbeat;
     if (change === PresenceChange.OUTDATED) {
       this.parts.record(EventCode.HEARTBEAT_REFUSED, {instance, sequence});
       return change;
     }
-    if (change === PresenceChange.STARTED) this.parts.pool.close();
+    if (change === PresenceChange.STARTED) {
+      this.recordEnd(isPlanned);
+      this.parts.pool.close();
+    }
     this.limiter.update(slots);
     if (change !== PresenceChange.NONE) {
-      this.recordPresence(change, instance, slots);
+      recordPresence(this.parts.record, change, instance, slots);
       this.parts.handleChange();
     }
     this.apply(this.gate.tick());
@@ -157,7 +175,7 @@
   observeLeave(instance: string): void {
     const change = this.parts.presence.recordLeave(instance);
     if (change !== PresenceChange.DRAINING) return;
-    this.recordPresence(change, instance, 0);
+    recordPresence(this.parts.record, change, instance, 0);
     this.parts.handleChange();
   }
 
@@ -167,11 +185,11 @@
     const deadlineMs = nowMs + call.leftMs;
     const obstacle = this.parts.hasTimeFor(deadlineMs)
       ? this.findObstacle(call)
-      : GateReason.NODE_STOPPING;
+      : STOPPING;
     if (obstacle) {
-      this.recordRefusal(call, obstacle);
-      const retryMs = obstacle === GateReason.NODE_STOPPING ? STOP_RETRY_MS : 0;
-      handle(createFailure(SendEnd.REFUSED_BY_GATE, obstacle, retryMs));
+      const {reason, retryAfterMs} = obstacle;
+      this.recordRefusal(call, reason);
+      handle(createFailure(SendEnd.REFUSED_BY_GATE, reason, retryAfterMs));
       return {cancel: () => undefined};
     }
     const ticket = String(this.nextTicket++);
@@ -201,12 +219,19 @@
     this.parts.pool.close();
   }
 
-  private findObstacle({service}: OutgoingCall): GateReason | undefined {
-    if (service !== this.parts.service) return GateReason.WRONG_SERVICE;
+  private findObstacle(call: OutgoingCall): Obstacle | undefined {
+    if (call.service !== this.parts.service) {
+      return createObstacle(GateReason.WRONG_SERVICE);
+    }
+    const {isRefused, retryAfterMs} = this.parts.crashes.check(call);
+    if (isRefused) return createObstacle(GateReason.CRASHING, retryAfterMs);
     const upstream = this.parts.presence.read();
-    if (!upstream || this.isDown()) return GateReason.UPSTREAM_DOWN;
-    const {drainingSinceMs} = upstream;
-    return this.hasStartTime(drainingSinceMs) ? undefined : GateReason.DRAINING;
+    if (!upstream || this.isDown()) {
+      return createObstacle(GateReason.UPSTREAM_DOWN);
+    }
+    return this.hasStartTime(upstream.drainingSinceMs)
+      ? undefined
+      : createObstacle(GateReason.DRAINING);
   }
 
   private hasStartTime(drainingSinceMs: number | undefined): boolean {
@@ -245,11 +270,16 @@
   private start(gateCall: GateCall): void {
     const obstacle = this.parts.hasTimeToStart(gateCall.deadlineMs)
       ? this.findObstacle(gateCall.call)
-      : GateReason.NODE_STOPPING;
+      : STOPPING;
     const upstream = this.parts.presence.read();
     if (obstacle || !upstream) {
-      const reason = obstacle ?? GateReason.UPSTREAM_DOWN;
-      const failure = createFailure(SendEnd.REFUSED_BY_GATE, reason);
+      const {reason, retryAfterMs} =
+        obstacle ?? createObstacle(GateReason.UPSTREAM_DOWN);
+      const failure = createFailure(
+        SendEnd.REFUSED_BY_GATE,
+        reason,
+        retryAfterMs,
+      );
       this.finish(gateCall, Completion.CANCELLED, failure);
       return;
     }
@@ -265,9 +295,17 @@
         const {completion, result} = end;
         const {isConnectionRefused, isOtherInstance} = end;
         const elapsedMs = this.parts.clock.readMs() - startedMs;
-        this.recordRun(gateCall.call, upstream.instance, end, elapsedMs);
+        recordRun(
+          this.parts.record,
+          gateCall.call,
+          upstream.instance,
+          end,
+          elapsedMs,
+          this.describeLoad(),
+        );
+        this.observeEnd(gateCall.call, startedMs, end);
         if (completion === Completion.SUCCEEDED) this.observeTime(elapsedMs);
-        if (isConnectionRefused) this.markDown();
+        if (isConnectionRefused) this.markDown(end.hasNoListener);
         if (isOtherInstance) this.clearInstance(upstream.instance);
         this.finish(gateCall, completion, result);
       },
@@ -309,19 +347,61 @@
   }
 
   private observeTime(elapsedMs: number): void {
-    this.meanServiceMs =
-      this.meanServiceMs === 0
-        ? elapsedMs
-        : this.meanServiceMs +
-          SERVICE_WEIGHT * (elapsedMs - this.meanServiceMs);
+    const knownMs = this.meanServiceMs || elapsedMs;
+    this.meanServiceMs = knownMs + SERVICE_WEIGHT * (elapsedMs - knownMs);
+  }
+
+  /** What the end of a run says of the upstream. */
+  private observeEnd(
+    call: OutgoingCall,
+    startedMs: number,
+    {result: {end, reason}}: RunEnd,
+  ): void {
+    const {crashes} = this.parts;
+    if (end === SendEnd.RESPONSE) crashes.observeAnswer(call, startedMs);
+    if (end === SendEnd.REFUSED_BY_UPSTREAM) crashes.observeRefusal(startedMs);
+    if (end !== SendEnd.LOST) return;
+    crashes.observeUnanswered(call, startedMs);
+    if (reason === GateReason.CONNECTION_LOST) this.probe();
+  }
+
+  /** A lost connection may be the first sign of a crash. */
+  private probe(): void {
+    const nowMs = this.parts.clock.readMs();
+    if (this.isDown() || nowMs < this.probedMs + PROBE_PAUSE_MS) return;
+    this.probedMs = nowMs;
+    this.parts.pool.probe(() => this.markDown(true));
+  }
+
+  /** Whether the end of the upstream at this time has been announced. */
+  private isPastDrain(): boolean {
+    const {drainingSinceMs} = this.parts.presence.read() ?? {};
+    if (drainingSinceMs === undefined) return false;
+    const drainedMs = this.parts.clock.readMs() - drainingSinceMs;
+    return drainedMs >= this.parts.drainMs;
+  }
+
+  private recordEnd(isPlanned: boolean): void {
+    if (isPlanned) {
+      this.parts.crashes.recordPlannedEnd();
+      return;
+    }
+    const running = [...this.calls.values()].filter(({run}) => run);
+    const inFlight = this.parts.crashes.recordCrash(
+      running.map(({call}) => call),
+    );
+    if (inFlight === 0) return;
+    const instance = this.parts.presence.read()?.instance ?? '';
+    this.parts.record(EventCode.UPSTREAM_CRASHED, {instance, inFlight});
   }
 
-  private markDown(): void {
+  private markDown(hasNoListener: boolean): void {
     const wasDown = this.isDown();
+    if (hasNoListener) this.recordEnd(this.isPastDrain());
     this.downUntilMs = this.parts.clock.readMs() + UPSTREAM_DOWN_MS;
     if (wasDown) return;
     this.parts.pool.close();
-    this.parts.record(EventCode.UPSTREAM_CRASHED, {
+    this.parts.record(EventCode.UPSTREAM_UNREACHABLE, {
       instance: this.parts.presence.read()?.instance ?? '',
       running: this.gate.countRunning(),
     });
@@ -335,58 +415,8 @@
     this.parts.handleChange();
   }
 
-  /** Inputs of the decision: what runs and waits, and the time left. */
   private recordRefusal(call: OutgoingCall, reason: GateReason): void {
-    if (reason === GateReason.CANCELLED) return;
-    this.parts.record(
-      EventCode.GATE_REFUSED,
-      {
-        kind: call.kind,
-        reason,
-        importance: call.importance,
-        running: this.gate.countRunning(),
-        waiting: this.gate.countWaiting(),
-        limit: this.gate.readLimit(),
-        leftMs: Math.round(call.leftMs),
-      },
-      call.requestId,
-    );
-  }
-
-  private recordRun(
-    call: OutgoingCall,
-    instance: string,
-    {result: {end, status, reason}, message}: RunEnd,
-    elapsedMs: number,
-  ): void {
-    const isServed = end === SendEnd.RESPONSE && status < FIRST_ERROR_STATUS;
-    this.parts.record(
-      isServed ? EventCode.REQUEST_FINISHED : EventCode.UPSTREAM_RUN_FAILED,
-      {
-        kind: call.kind,
-        instance,
-        status,
-        reason: reason ?? '',
-        ...(message === '' ? {} : {message}),
-        ...(end === SendEnd.LOST ? {content: identifyContent(call)} : {}),
-        elapsedMs: Math.round(elapsedMs),
-        running: this.gate.countRunning(),
-        waiting: this.gate.countWaiting(),
-      },
-      call.requestId,
-    );
-  }
-
-  private recordPresence(
-    change: PresenceChange,
-    instance: string,
-    slots: number,
-  ): void {
-    const code =
-      change === PresenceChange.DRAINING
-        ? EventCode.UPSTREAM_DRAINING
-        : EventCode.UPSTREAM_PRESENT;
-    this.parts.record(code, {instance, slots, change});
+    recordRefusal(this.parts.record, call, reason, this.describeLoad());
   }
 
   private scheduleTick(): void {
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -185,6 +185,7 @@
       sends: this.sends,
       lateRefusals: this.lateRefusals,
       leftMs: request.deadlineMs - parts.clock.readMs(),
+      isRefusedEverywhere: result.reason === GateReason.CRASHING,
     });
     const isPermitted =
       decision !== ResendDecision.SEND_ON_BUDGET ||
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -23,11 +23,15 @@
   readonly completion: Completion;
   readonly result: CallResult;
   readonly isConnectionRefused: boolean;
+  /** Nothing listens at the address of the upstream. */
+  readonly hasNoListener: boolean;
   readonly isOtherInstance: boolean;
   /** What was wrong with the connection, for the log. */
   readonly message: string;
 }
 
+type UnsentExchange = Extract<ExchangeResult, {end: ExchangeEnd.NOT_SENT}>;
+
 /** What a run is built from. */
 export interface UpstreamRunParts {
   readonly call: OutgoingCall;
@@ -115,14 +119,18 @@
     if (exchange.end === ExchangeEnd.RESPONSE) {
       this.finishResponse(exchange.status, exchange.headers, exchange.body);
     } else if (exchange.end === ExchangeEnd.NOT_SENT) {
-      this.finishUnsent(exchange.isRefused, exchange.message);
+      this.finishUnsent(exchange);
     } else {
       this.endLost(exchange.reason, exchange.message);
     }
   }
 
   /** A kept connection that was reset says nothing about the upstream. */
-  private finishUnsent(isRefused: boolean, message: string): void {
+  private finishUnsent({
+    isRefused,
+    hasNoListener,
+    message,
+  }: UnsentExchange): void {
     if (this.isEnded) return;
     if (!isRefused && !this.isSentAgain) {
       this.isSentAgain = true;
@@ -135,6 +143,7 @@
     this.end(Completion.FAILED, {
       result: createFailure(SendEnd.REFUSED_BY_GATE, reason),
       isConnectionRefused: isRefused,
+      hasNoListener,
       message,
     });
   }
@@ -191,6 +200,7 @@
     clearTimeout(this.timer);
     this.parts.handle({
       isConnectionRefused: false,
+      hasNoListener: false,
       isOtherInstance: false,
       message: '',
       ...rest,
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -113,6 +113,7 @@
     }
     parts.peers.stop();
     parts.upstream.stop();
+    parts.crashes.stop();
     parts.configuration.stop();
     const waitedMs = Math.round(parts.clock.readMs() - startedMs);
     parts.record(EventCode.NODE_STOPPED, {waitedMs});
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -53,6 +53,8 @@
   LINK_CLOSING = 'link-closing',
   NO_MEMBER = 'no-member',
   NODE_STOPPING = 'node-stopping',
+  /** The request has crashed upstreams of the service. */
+  CRASHING = 'crashing',
 }
 
 /** How a call at a gate ended. */
@@ -147,7 +149,7 @@
 export enum StoreTable {
   /** One row for the configuration in force. */
   CONFIGURATION = 'configuration',
-  /** One row for each node. */
+  /** One row for each node and for each request that crashes upstreams. */
   NODES = 'nodes',
 }
 
@@ -160,9 +162,10 @@
     afterVersion: number,
     signal: AbortSignal,
   ): Promise<RowBatch>;
-  writeNode(key: string, value: Uint8Array): Promise<void>;
+  /** Writes a row of the table of nodes. */
+  writeRow(key: string, value: Uint8Array): Promise<void>;
   /** Removes the row if it still has the version. */
-  removeNode(key: string, version: number): Promise<void>;
+  removeRow(key: string, version: number): Promise<void>;
 }
 
 /** What a node tells its peers about itself. */
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -35,6 +35,8 @@
   ConfigurationSource,
   ConfigurationTask,
 } from './process/configurationTask.js';
+import type {CrashMark} from './process/crashTask.js';
+import {CrashTask, isCrashRow} from './process/crashTask.js';
 import {DecisionLog, createOutputWriter} from './process/decisionLog.js';
 import {FleetTask} from './process/fleetTask.js';
 import {PeerTask} from './process/peerTask.js';
@@ -60,6 +62,8 @@
   readonly decodeConfiguration: ConfigurationDecoder;
   readonly encodeNode: (node: NodeRecord) => Uint8Array;
   readonly decodeNode: (content: Uint8Array) => NodeRecord | undefined;
+  readonly encodeMark: (mark: CrashMark) => Uint8Array;
+  readonly decodeMark: (content: Uint8Array) => CrashMark | undefined;
 }
 
 /** The parts of a sidecar that its process and its adapter use. */
@@ -72,6 +76,7 @@
   readonly record: EventRecorder;
   readonly metrics: Metrics;
   readonly upstream: UpstreamTask;
+  readonly crashes: CrashTask;
   readonly origin: OriginHandler;
   readonly clients: ClientListener;
   readonly peers: PeerTask;
@@ -167,6 +172,19 @@
     handleChange: () => lifecycle.handleConfiguration(),
     handleStoreLate: () => followers[0]?.reset(),
   });
+  const crashes = new CrashTask({
+    incarnation: self.incarnation,
+    service: settings.service,
+    clock,
+    record,
+    store,
+    encodeMark: adapter.encodeMark,
+    decodeMark: adapter.decodeMark,
+    spread: (suspects) => {
+      peers.sendSuspects(suspects);
+      peerServer.sendSuspects(suspects);
+    },
+  });
   const upstream: UpstreamTask = new UpstreamTask({
     service: settings.service,
     get drainMs() {
@@ -177,6 +195,7 @@
     presence: container.get<UpstreamPresence>(TOKENS.presence),
     callParents: new CallParents(),
     pool: container.get<UpstreamPool>(TOKENS.pool),
+    crashes,
     hasTimeToStart: (deadlineMs) =>
       lifecycle.stop?.hasTimeToStart(clock.readMs(), deadlineMs) ?? true,
     hasTimeFor: (deadlineMs) =>
@@ -228,6 +247,8 @@
       configuration.adopt(content, ConfigurationSource.PEER),
     handleNode: (node) => fleet.handleNode(node),
     handleReplaced: (node) => fleet.removeNode(node),
+    listSuspects: () => crashes.listSuspects(),
+    handleSuspects: (suspects) => crashes.merge(suspects),
     needsNodes: () => !nodeFollower.hasContact(),
     frameBudget,
   });
@@ -247,6 +268,8 @@
       configuration.handlePeerVersion(version, send),
     handleConfiguration: (content) =>
       configuration.adopt(content, ConfigurationSource.PEER),
+    listSuspects: () => crashes.listSuspects(),
+    handleSuspects: (suspects) => crashes.merge(suspects),
     readConfiguration: () => configuration.read()?.content,
     listNodes: () => fleet.list(),
     handleFault: (message) =>
@@ -267,8 +290,14 @@
     store,
     table: StoreTable.NODES,
     record,
-    handleAll: (rows) => fleet.handleAll(rows),
-    handleChanges: (rows) => fleet.handleChanges(rows),
+    handleAll: (rows) => {
+      crashes.handleRows(rows.filter(isCrashRow));
+      fleet.handleAll(rows.filter((row) => !isCrashRow(row)));
+    },
+    handleChanges: (rows) => {
+      crashes.handleRows(rows.filter(isCrashRow));
+      fleet.handleChanges(rows.filter((row) => !isCrashRow(row)));
+    },
     pauseMs: NODES_PAUSE_MS,
   });
   const followers = [configurationFollower, nodeFollower];
@@ -334,6 +363,7 @@
     record,
     metrics,
     upstream,
+    crashes,
     origin,
     clients,
     peers,
--- a/packages/sycamoreyoke/src/process/crashRegister.ts
+++ b/packages/sycamoreyoke/src/process/crashRegister.ts
@@ -1,7 +1,5 @@
 /** Requests suspected of crashing the upstreams of a service. */
 import type {Clock} from '../clock.js';
-import type {RequestIdentity} from '../types.js';
-import {formatIdentity} from '../types.js';
 
 /** A request stays refused this long after its latest crash. */
 export const CRASH_REFUSAL_MS = 5 * 60_000;
@@ -12,6 +10,8 @@
 export const CRASH_MEMORY_MS = 2 * CRASH_REFUSAL_MS;
 /** Crashes of one request until it is refused. */
 export const CRASHES_UNTIL_REFUSAL = 2;
+/** The same for requests that crashes do not tell from each other. */
+export const CRASHES_UNTIL_SHARED_REFUSAL = 3;
 /** Crashes remembered; the oldest is forgotten first. */
 export const MAX_CRASHES = 256;
 /** Suspects remembered for one crash. */
@@ -27,7 +27,7 @@
 
 /** A request that was in flight when an upstream crashed. */
 export interface CrashSuspect {
-  /** Identity with the authenticated caller, as formatIdentity joins it. */
+  /** The same for each attempt of the request. */
   readonly identity: string;
   /** Unique for each crash: the node's incarnation and a number. */
   readonly crashId: string;
@@ -60,6 +60,8 @@
   /** In the order in which they were learned. */
   private readonly crashes = new Map<string, Crash>();
   private readonly crashIdsByIdentity = new Map<string, Set<string>>();
+  /** Ends of the refusals that other nodes decided, the oldest first. */
+  private readonly marks = new Map<string, number>();
   private outgoing: OutgoingSuspect[] = [];
 
   constructor(private readonly clock: Clock) {}
@@ -70,20 +72,67 @@
    */
   recordCrash(
     crashId: string,
-    inFlight: readonly RequestIdentity[],
+    inFlight: readonly string[],
     sends: number,
-  ): void {
-    const identities = new Set(inFlight.map(formatIdentity));
-    for (const identity of identities) {
-      this.add({identity, crashId, inFlight: inFlight.length}, sends);
+  ): readonly CrashSuspect[] {
+    const identities = [...new Set(inFlight)];
+    const suspects = identities.map((identity) => ({
+      identity,
+      crashId,
+      inFlight: inFlight.length,
+    }));
+    for (const suspect of suspects) this.add(suspect, sends);
+    return suspects;
+  }
+
+  /**
+   * Merges what another member said and gives what was new; what is known
+   * already is not spread.
+   */
+  merge(
+    suspects: readonly CrashSuspect[],
+    sends: number,
+  ): readonly CrashSuspect[] {
+    return suspects.filter(
+      (suspect) => isPlausible(suspect) && this.add(suspect, sends),
+    );
+  }
+
+  /** Refuses a request for a time, as another node has decided. */
+  mark(identity: string): void {
+    this.marks.delete(identity);
+    const [oldest] = this.marks.keys();
+    if (oldest !== undefined && this.marks.size >= MAX_CRASHES) {
+      this.marks.delete(oldest);
     }
+    this.marks.set(identity, this.clock.readMs() + CRASH_REFUSAL_MS);
   }
 
-  /** Merges what another member said; what is known already is not spread. */
-  merge(suspects: readonly CrashSuspect[], sends: number): void {
-    for (const suspect of suspects) {
-      if (isPlausible(suspect)) this.add(suspect, sends);
+  /** The request has been answered by an upstream, so it crashed none. */
+  clear(identity: string): void {
+    this.marks.delete(identity);
+    // The crashes keep the identity, so that it is not learned again.
+    this.crashIdsByIdentity.delete(identity);
+  }
+
+  /** Whether any request is suspected or refused. */
+  hasSuspects(): boolean {
+    return this.crashIdsByIdentity.size + this.marks.size > 0;
+  }
+
+  /** The suspects of the latest crashes, the latest one first. */
+  listSuspects(limit: number): readonly CrashSuspect[] {
+    this.tick();
+    const suspects: CrashSuspect[] = [];
+    for (const [crashId, {identities, inFlight}] of [
+      ...this.crashes,
+    ].reverse()) {
+      for (const identity of identities) {
+        if (suspects.length >= limit) return suspects;
+        suspects.push({identity, crashId, inFlight});
+      }
     }
+    return suspects;
   }
 
   /** Takes suspects for a message, those sent least often first. */
@@ -98,16 +147,14 @@
   }
 
   /** Decides whether a request is refused. */
-  check(identity: RequestIdentity): CrashVerdict {
-    if (this.crashes.size === 0) return ACCEPTED;
+  check(identity: string): CrashVerdict {
+    if (!this.hasSuspects()) return ACCEPTED;
     this.tick();
-    const name = formatIdentity(identity);
-    const crashes = this.listCrashes(name);
-    if (crashes.length < CRASHES_UNTIL_REFUSAL) return ACCEPTED;
-    const blamed = crashes.filter((crash) => this.isBlamed(name, crash));
-    if (blamed.length < CRASHES_UNTIL_REFUSAL) return ACCEPTED;
-    const latestMs = Math.max(...blamed.map(({learnedMs}) => learnedMs));
-    const leftMs = latestMs + CRASH_REFUSAL_MS - this.clock.readMs();
+    const untilMs = Math.max(
+      this.marks.get(identity) ?? -Infinity,
+      this.findRefusalEnd(identity),
+    );
+    const leftMs = untilMs - this.clock.readMs();
     return leftMs > 0 ? {isRefused: true, retryAfterMs: leftMs} : ACCEPTED;
   }
 
@@ -118,6 +165,11 @@
       if (crash.learnedMs > forgottenMs) break;
       this.remove(crashId, crash);
     }
+    const nowMs = this.clock.readMs();
+    for (const [identity, untilMs] of this.marks) {
+      if (untilMs > nowMs) break;
+      this.marks.delete(identity);
+    }
   }
 
   countCrashes(): number {
@@ -134,18 +186,32 @@
     return this.outgoing.length;
   }
 
-  private add(suspect: CrashSuspect, sends: number): void {
+  /** When the refusal ends that follows from the crashes known here. */
+  private findRefusalEnd(identity: string): number {
+    const crashes = this.listCrashes(identity);
+    if (crashes.length < CRASHES_UNTIL_REFUSAL) return -Infinity;
+    const blamed = crashes.filter((crash) => this.isBlamed(identity, crash));
+    if (blamed.length < CRASHES_UNTIL_REFUSAL) return -Infinity;
+    const latestMs = Math.max(...blamed.map(({learnedMs}) => learnedMs));
+    return latestMs + CRASH_REFUSAL_MS;
+  }
+
+  /** Says whether the suspect was new. */
+  private add(suspect: CrashSuspect, sends: number): boolean {
     this.tick();
     const {crashId, identity} = suspect;
     const crash = this.crashes.get(crashId) ?? this.createCrash(suspect);
     const isKnown = crash.identities.has(identity);
-    if (isKnown || crash.identities.size >= MAX_SUSPECTS_PER_CRASH) return;
+    if (isKnown || crash.identities.size >= MAX_SUSPECTS_PER_CRASH) {
+      return false;
+    }
     crash.identities.add(identity);
     const crashIds = this.crashIdsByIdentity.get(identity) ?? new Set();
     this.crashIdsByIdentity.set(identity, crashIds.add(crashId));
     if (sends > 0 && this.outgoing.length < MAX_OUTGOING_SUSPECTS) {
       this.outgoing.push({suspect, sendsLeft: sends});
     }
+    return true;
   }
 
   private createCrash({crashId, inFlight}: CrashSuspect): Crash {
@@ -177,15 +243,18 @@
 
   /**
    * True unless another request, itself in two crashes, is a more likely cause
-   * of the crash. Among equals all are blamed.
+   * of the crash. Equals are blamed from their third crash on: until then each
+   * may run again, and all but the cause are answered and cleared.
    */
   private isBlamed(identity: string, crash: Crash): boolean {
     const own = this.computeSuspicion(identity);
+    const crashes = this.crashIdsByIdentity.get(identity)?.size ?? 0;
+    const isShared = crashes >= CRASHES_UNTIL_SHARED_REFUSAL;
+    const limit = isShared ? own + ROUNDING : own - ROUNDING;
     for (const other of crash.identities) {
       const count = this.crashIdsByIdentity.get(other)?.size ?? 0;
-      const isRepeated = count >= CRASHES_UNTIL_REFUSAL;
-      if (isRepeated && this.computeSuspicion(other) > own + ROUNDING)
-        return false;
+      if (other === identity || count < CRASHES_UNTIL_REFUSAL) continue;
+      if (this.computeSuspicion(other) > limit) return false;
     }
     return true;
   }
--- /dev/null
+++ b/packages/sycamoreyoke/src/process/crashWatch.test.ts
@@ -0,0 +1,31 @@
+import {expect} from 'chai';
+import {VirtualClock} from '../clock.js';
+import {CrashWatch, MAX_UNANSWERED, SUSPECT_MS} from './crashWatch.js';
+
+// Guards against a lost connection that is taken for a crash.
+it('crash watch: a later answer clears the runs that ended before', () => {
+  const clock = new VirtualClock();
+  const watch = new CrashWatch<string>(clock);
+  watch.recordUnanswered('early');
+  clock.advance(10);
+  const startedMs = clock.readMs();
+  clock.advance(10);
+  watch.recordUnanswered('late');
+  watch.recordAnswer(startedMs);
+  expect(watch.take()).to.deep.equal(['late']);
+  expect(watch.take()).to.deep.equal([]);
+});
+
+// Guards against suspects of an hour ago and against unbounded memory.
+it('crash watch: suspects are recent and bounded', () => {
+  const clock = new VirtualClock();
+  const watch = new CrashWatch<number>(clock);
+  watch.recordUnanswered(-1);
+  clock.advance(SUSPECT_MS + 1);
+  for (let run = 0; run <= MAX_UNANSWERED; run += 1) {
+    watch.recordUnanswered(run);
+  }
+  const suspects = watch.take();
+  expect(suspects).to.have.length(MAX_UNANSWERED);
+  expect(suspects).not.to.include(-1);
+});
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -238,12 +238,14 @@
   ),
   [EventCode.UPSTREAM_CRASHED]: describe(
     'The upstream process ended while requests ran.',
+    'instance',
     'inFlight: requests',
   ),
   [EventCode.REQUEST_SUSPECTED]: describe(
     'A request was in flight when an upstream crashed.',
-    'identity',
-    'crashes',
+    'identity: the same for attempts with the same content',
+    'crashId',
+    'inFlight: requests that were in flight together',
   ),
   [EventCode.UPSTREAM_PRESENT]: describe(
     'The upstream beside the node registered or changed.',
@@ -266,6 +268,16 @@
     'instance',
     'sequence',
   ),
+  [EventCode.CRASH_ROW_DELAYED]: describe(
+    'The row of a request that crashes upstreams could not be written or removed.',
+    'identity or key',
+    'message',
+  ),
+  [EventCode.UPSTREAM_UNREACHABLE]: describe(
+    'The upstream does not accept connections; its gate refuses for a moment.',
+    'instance',
+    'running',
+  ),
   [EventCode.PLATFORM_UNAVAILABLE]: describe(
     "The platform's service stopped answering.",
     'service',
--- a/packages/sycamoreyoke/src/request/resend.test.ts
+++ b/packages/sycamoreyoke/src/request/resend.test.ts
@@ -10,6 +10,7 @@
   sends: 1,
   lateRefusals: 0,
   leftMs: 1_000,
+  isRefusedEverywhere: false,
 };
 
 function decide(changes: Partial<ResendQuestion>) {
@@ -60,3 +61,12 @@
     ResendDecision.ANSWER_NOT_RUN,
   );
 });
+
+// Guards against a crashing request that is offered to gate after gate.
+it('resend: what every gate refuses is answered at once', () => {
+  const refused = {end: SendEnd.REFUSED_BY_GATE};
+  expect(decide(refused)).to.equal(ResendDecision.SEND_FREELY);
+  expect(decide({...refused, isRefusedEverywhere: true})).to.equal(
+    ResendDecision.ANSWER_NOT_RUN,
+  );
+});
--- a/packages/sycamoreyoke/src/request/resend.ts
+++ b/packages/sycamoreyoke/src/request/resend.ts
@@ -24,6 +24,8 @@
   /** Gates that refused because the time left is too short. */
   readonly lateRefusals: number;
   readonly leftMs: number;
+  /** Every gate of the service refuses the request. */
+  readonly isRefusedEverywhere: boolean;
 }
 
 export enum ResendDecision {
@@ -53,6 +55,7 @@
   const hasRoom =
     sends < MAX_SENDS &&
     leftMs >= SHORTEST_SEND_MS &&
+    !question.isRefusedEverywhere &&
     question.lateRefusals < MAX_LATE_REFUSALS;
   if (end === SendEnd.REFUSED_BY_GATE) {
     return hasRoom ? ResendDecision.SEND_FREELY : ResendDecision.ANSWER_NOT_RUN;
