Bring versions into force while store connections are silent or refused

Cause: whoever knows a version keeps it. A wait for changes on a silent connection lasted up to 21.5 s, and the call after it could take another silent connection of the pool. A node that adopted a version told nobody; its peers saw it in a result or ping, waited, and asked one link once, which may be gone. After a lost history a list that is behind was taken for the newest state, and no wait told the change any more.

Change: waits for the configuration are short enough for some node to notice silence each 150 ms and follow the number of nodes; a call without an answer closes all kept connections, and a silent link or store makes the node try the others. A lost history is listed again for 5 s, and a list never undoes what is newer. A wait that is given up for a doubt is no failure.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -16,6 +16,7 @@
   ResultHandler,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import type {ConfigurationPeer} from '../process/configurationTask.js';
 import type {ByteBudget} from './byteBudget.js';
 import type {Frame} from './peerFrames.js';
 import {
@@ -33,7 +34,10 @@
   readonly describeSelf: () => {node: NodeRecord; report: NodeReport};
   readonly offer: (call: OutgoingCall, handle: ResultHandler) => PendingCall;
   readonly handleHello: (node: NodeRecord) => void;
-  readonly handlePeerVersion: (version: number, send: FrameSender) => void;
+  readonly handlePeerVersion: (
+    version: number,
+    peer: ConfigurationPeer,
+  ) => void;
   readonly handleConfiguration: (content: Uint8Array) => void;
   readonly readConfiguration: () => Uint8Array | undefined;
   readonly listNodes: () => readonly NodeRecord[];
@@ -98,6 +102,13 @@
     });
   }
 
+  /** Sends a frame that expects no result, if the link is open. */
+  write(frame: Frame): boolean {
+    const isOpen = this.phase === LinkPhase.OPEN && this.socket.writable;
+    if (isOpen) this.send(frame);
+    return isOpen;
+  }
+
   /** Tells the peer what has changed. */
   sendReport(): void {
     this.send({kind: FrameKind.REPORT, report: this.describeReport()});
@@ -180,11 +191,11 @@
           revision: FRAME_REVISION,
         });
         this.parts.handleHello(frame.node);
-        this.parts.handlePeerVersion(frame.report.configurationVersion, send);
+        this.parts.handlePeerVersion(frame.report.configurationVersion, this);
         return;
       case FrameKind.PING:
         this.sendReport();
-        this.parts.handlePeerVersion(frame.report.configurationVersion, send);
+        this.parts.handlePeerVersion(frame.report.configurationVersion, this);
         return;
       case FrameKind.CALL:
         this.start(frame.id, frame.call);
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -154,6 +154,7 @@
     handleFrame: () => undefined,
     handleUp: () => undefined,
     handleDown: () => undefined,
+    handleSilence: () => undefined,
     handleClosing: (_link, calls) => closings.push(calls),
   };
   const node = createNode('peer', address);
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -43,6 +43,8 @@
   handleFrame(link: PeerLink, frame: Frame): void;
   handleUp(link: PeerLink): void;
   handleDown(link: PeerLink, message: string): void;
+  /** A link has given no sign of life; others may be silent too. */
+  handleSilence(): void;
   /** The node closes the link; this many calls on it have not run. */
   handleClosing(link: PeerLink, calls: number): void;
 }
@@ -123,9 +125,19 @@
     };
   }
 
-  /** Sends a frame that expects no result. */
-  write(frame: Frame): void {
-    if (this.socket && this.isUp) sendFrame(this.socket, frame);
+  /** Sends a frame that expects no result, if the link is open. */
+  write(frame: Frame): boolean {
+    if (!this.socket || !this.isUp) return false;
+    sendFrame(this.socket, frame);
+    return true;
+  }
+
+  /** Sends the node's report and asks for a sign of life. */
+  probe(): void {
+    if (!this.socket || !this.isUp || this.askedMs !== undefined) return;
+    this.askedMs = this.clock.readMs();
+    const {report} = this.events.describeSelf();
+    sendFrame(this.socket, {kind: FrameKind.PING, report});
   }
 
   /** Tells the node of requests that were in flight at crashes. */
@@ -217,14 +229,12 @@
     if (this.askedMs !== undefined) {
       if (nowMs - this.askedMs >= PING_TIMEOUT_MS) {
         this.disconnect(`no answer to a ping for ${PING_TIMEOUT_MS} ms`);
+        this.events.handleSilence();
       }
       return;
     }
     const intervalMs = this.waiting.size > 0 ? PING_MS : IDLE_PING_MS;
-    if (nowMs - this.heardMs < intervalMs) return;
-    this.askedMs = nowMs;
-    const {report} = this.events.describeSelf();
-    sendFrame(this.socket, {kind: FrameKind.PING, report});
+    if (nowMs - this.heardMs >= intervalMs) this.probe();
   }
 
   private recordLife(): void {
--- a/packages/sidecar/src/connection/peerServer.ts
+++ b/packages/sidecar/src/connection/peerServer.ts
@@ -2,7 +2,9 @@
 import type {Server, Socket} from 'node:net';
 import {createServer} from 'node:net';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
-import {CLOSING_FLUSH_MS} from '../constants.js';
+import type {Random} from 'sycamoreyoke/random';
+import {sampleEvenly} from 'sycamoreyoke/random';
+import {ANNOUNCED_LINKS, CLOSING_FLUSH_MS} from '../constants.js';
 import type {AcceptedLinkParts} from './acceptedLink.js';
 import {AcceptedLink} from './acceptedLink.js';
 
@@ -35,6 +37,13 @@
     for (const link of this.links) link.sendReport();
   }
 
+  /** Tells some callers, who tell others. */
+  announceVersion(random: Random): void {
+    for (const link of sampleEvenly(random, [...this.links], ANNOUNCED_LINKS)) {
+      link.sendReport();
+    }
+  }
+
   /** Tells the nodes of the service that call this one. */
   sendSuspects(suspects: readonly CrashSuspect[]): void {
     for (const link of this.links) link.sendSuspects(suspects);
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -94,6 +94,18 @@
 export const STORE_RETRY_MIN_MS = 100;
 export const STORE_RETRY_MAX_MS = 1_000;
 
+/** A store that has lost its history may answer lists that are some seconds
+ * behind; it is listed again for this long. */
+export const LIST_AGAIN_MS = 5_000;
+export const LIST_INTERVAL_MS = 1_000;
+/** A call that began this recently is not given up for a doubt, ms. */
+export const RESET_PAUSE_MS = 500;
+/** Links over which a node tells of a new version at once. More would cost the
+ * more the larger the deployment is; the told ones tell others. */
+export const ANNOUNCED_LINKS = 8;
+/** Least time between doubts about all connections of the node, ms. */
+export const DOUBT_PAUSE_MS = 1_000;
+
 /** Requests of one client connection that are passed on at once. */
 export const MAX_PIPELINED_REQUESTS = 64;
 /** Bytes of answers of one connection that may wait for an earlier answer. */
--- /dev/null
+++ b/packages/sidecar/src/process/configurationTask.test.ts
@@ -0,0 +1,71 @@
+import {systemClock} from '@sycamoreyoke/node/process/systemClock';
+import {expect} from 'chai';
+import type {RouteTable} from 'sycamoreyoke/version/routeTable';
+import {waitFor} from '../connection/linkHarness.test.js';
+import type {ConfigurationPeer} from './configurationTask.js';
+import {ConfigurationSource, ConfigurationTask} from './configurationTask.js';
+
+function createTask() {
+  let changes = 0;
+  const task = new ConfigurationTask({
+    clock: systemClock,
+    decode: (content) =>
+      ({
+        version: Number(content.toString()),
+        routes: [],
+      }) as unknown as RouteTable,
+    record: () => undefined,
+    handleChange: () => (changes += 1),
+    handleStoreLate: () => undefined,
+  });
+  return {task, countChanges: () => changes};
+}
+
+/** A peer that gives its version when it is asked, or never answers. */
+function createPeer(
+  task: ConfigurationTask,
+  version: number,
+  {isOpen = true, isSilent = false} = {},
+) {
+  let questions = 0;
+  const peer: ConfigurationPeer = {
+    write: () => {
+      if (!isOpen) return false;
+      questions += 1;
+      if (!isSilent) {
+        const content = Buffer.from(String(version));
+        setTimeout(() => task.adopt(content, ConfigurationSource.PEER), 1);
+      }
+      return true;
+    },
+  };
+  task.handlePeerVersion(version, peer);
+  return {countQuestions: () => questions};
+}
+
+// Guards against a version that is missed because the one link that was to be
+// asked has gone or gives no answer.
+it('configuration task: asks the next peer when a link is gone or silent', async () => {
+  const {task} = createTask();
+  const sound = createPeer(task, 5);
+  const silent = createPeer(task, 5, {isSilent: true});
+  const closed = createPeer(task, 5, {isOpen: false});
+  await waitFor(() => task.readVersion() === 5);
+  const counts = [closed, silent, sound].map((peer) => peer.countQuestions());
+  expect(counts).to.deep.equal([0, 1, 1]);
+  task.stop();
+});
+
+// Guards against a newer version that passes by while an older one is fetched.
+it('configuration task: asks for the newest version it heard of', async () => {
+  const {task, countChanges} = createTask();
+  const older = createPeer(task, 5);
+  const newest = createPeer(task, 9);
+  createPeer(task, 7);
+  await waitFor(() => task.readVersion() === 9);
+  expect([older.countQuestions(), newest.countQuestions()]).to.deep.equal([
+    0, 1,
+  ]);
+  expect(countChanges()).to.equal(1);
+  task.stop();
+});
--- a/packages/sidecar/src/process/configurationTask.ts
+++ b/packages/sidecar/src/process/configurationTask.ts
@@ -17,6 +17,12 @@
   PEER = 'peer',
 }
 
+/** A link to a node that may be asked for its configuration. */
+export interface ConfigurationPeer {
+  /** Says whether the frame was sent. */
+  write(frame: Frame): boolean;
+}
+
 /** What the task is built from. */
 export interface ConfigurationTaskParts {
   readonly clock: Clock;
@@ -33,6 +39,8 @@
   private peerTimer: NodeJS.Timeout | undefined;
   /** Since when a peer has had a newer version. */
   private behindSinceMs: number | undefined;
+  /** Peers with newer versions that were not asked yet, the latest last. */
+  private readonly ahead = new Map<ConfigurationPeer, number>();
 
   constructor(private readonly parts: ConfigurationTaskParts) {}
 
@@ -78,37 +86,67 @@
       routes,
       behindMs: this.measureBehind(),
     });
-    this.behindSinceMs = undefined;
+    for (const [peer, ahead] of this.ahead) {
+      if (ahead <= offered) this.ahead.delete(peer);
+    }
+    if (this.ahead.size === 0) this.behindSinceMs = undefined;
     this.parts.handleChange();
   }
 
   /**
    * A peer has a newer version. The store usually shows it within the wait; if
-   * not, the connection to it may be silent, and the peer is asked.
+   * not, the connection to it may be silent, and the peers are asked in turn.
    */
-  handlePeerVersion(version: number, send: (frame: Frame) => void): void {
+  handlePeerVersion(version: number, peer: ConfigurationPeer): void {
     if (version <= this.readVersion()) return;
     this.behindSinceMs ??= this.parts.clock.readMs();
-    if (this.peerTimer) return;
-    this.peerTimer = setTimeout(() => {
+    this.ahead.delete(peer);
+    this.ahead.set(peer, version);
+    this.scheduleQuestion(PEER_VERSION_WAIT_MS);
+  }
+
+  stop(): void {
+    clearTimeout(this.peerTimer);
+  }
+
+  private scheduleQuestion(delayMs: number): void {
+    this.peerTimer ??= setTimeout(() => {
       this.peerTimer = undefined;
-      if (version <= this.readVersion()) return;
+      this.askPeer();
+    }, delayMs);
+  }
+
+  /** Asks one peer; its link may be silent, so the next one follows. */
+  private askPeer(): void {
+    const asked = findNewest(this.ahead);
+    if (!asked) return;
+    const [peer, wanted] = asked;
+    this.ahead.delete(peer);
+    const isSent = peer.write({kind: FrameKind.GET_CONFIGURATION});
+    if (isSent) {
       this.parts.record(EventCode.CONFIGURATION_ASKED, {
         version: this.readVersion(),
-        wanted: version,
+        wanted,
         behindMs: this.measureBehind(),
       });
-      send({kind: FrameKind.GET_CONFIGURATION});
       this.parts.handleStoreLate();
-    }, PEER_VERSION_WAIT_MS);
+    }
+    this.scheduleQuestion(isSent ? PEER_VERSION_WAIT_MS : 0);
   }
 
   private measureBehind(): number {
     const nowMs = this.parts.clock.readMs();
     return Math.round(nowMs - (this.behindSinceMs ?? nowMs));
   }
+}
 
-  stop(): void {
-    clearTimeout(this.peerTimer);
+/** The peer with the newest version; of several, the one that told it last. */
+function findNewest(
+  ahead: ReadonlyMap<ConfigurationPeer, number>,
+): readonly [ConfigurationPeer, number] | undefined {
+  let newest: readonly [ConfigurationPeer, number] | undefined;
+  for (const entry of ahead) {
+    if (!newest || entry[1] >= newest[1]) newest = entry;
   }
+  return newest;
 }
--- a/packages/sidecar/src/process/fleetTask.ts
+++ b/packages/sidecar/src/process/fleetTask.ts
@@ -52,11 +52,14 @@
     }
   }
 
-  /** All rows of the store; nodes that are not among them are gone. */
-  handleAll(rows: readonly StoredRow[]): void {
+  /**
+   * All rows of the store as of a version; nodes that are not among them are
+   * gone, unless their rows are newer than the list.
+   */
+  handleAll(rows: readonly StoredRow[], listVersion: number): void {
     const keys = new Set(rows.map(({key}) => key));
-    for (const [name] of this.rowVersions) {
-      if (keys.has(name)) continue;
+    for (const [name, version] of this.rowVersions) {
+      if (keys.has(name) || version > listVersion) continue;
       this.rowVersions.delete(name);
       this.nodes.delete(name);
     }
@@ -66,6 +69,7 @@
 
   handleChanges(rows: readonly StoredRow[]): void {
     for (const {key, value, version} of rows) {
+      if (version < (this.rowVersions.get(key) ?? 0)) continue;
       this.rowVersions.set(key, version);
       const node = value && this.parts.decodeNode(value);
       if (node?.node === key) this.nodes.set(key, node);
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -62,6 +62,7 @@
     describeReport: () => REPORT,
     offerLocally: () => ({cancel: () => undefined}),
     handlePeerVersion: () => undefined,
+    handleSilence: () => undefined,
     handleConfiguration: () => undefined,
     handleNode: () => undefined,
     handleReplaced: () => undefined,
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -9,13 +9,17 @@
 } from 'sycamoreyoke/process/placement';
 import {choosePlacement} from 'sycamoreyoke/process/placement';
 import type {ByteBudget} from '../connection/byteBudget.js';
-import type {Frame, FrameReader} from '../connection/peerFrames.js';
+import type {FrameReader} from '../connection/peerFrames.js';
 import {FrameKind} from '../connection/peerFrames.js';
 import type {LinkEvents} from '../connection/peerLink.js';
 import {PeerLink} from '../connection/peerLink.js';
 import {chooseSubset, findSuccessor} from 'sycamoreyoke/process/linkSubset';
+import type {Random} from 'sycamoreyoke/random';
+import {sampleEvenly} from 'sycamoreyoke/random';
 import {
+  ANNOUNCED_LINKS,
   AVOID_MS,
+  DOUBT_PAUSE_MS,
   LINK_BOUNDS,
   LINK_TICK_MS,
   LINK_UPDATE_MS,
@@ -28,6 +32,8 @@
   ResultHandler,
 } from '../types.js';
 
+import type {ConfigurationPeer} from './configurationTask.js';
+
 /** What the task is built from. */
 export interface PeerTaskParts {
   readonly self: NodeRecord;
@@ -41,8 +47,10 @@
   ) => PendingCall;
   readonly handlePeerVersion: (
     version: number,
-    send: (frame: Frame) => void,
+    peer: ConfigurationPeer,
   ) => void;
+  /** A link has gone silent, and maybe the connections to the store too. */
+  readonly handleSilence: () => void;
   readonly handleConfiguration: (content: Uint8Array) => void;
   readonly handleNode: (node: NodeRecord) => void;
   /** Another node answers at the address of this one. */
@@ -77,6 +85,7 @@
   /** Mean time of each kind of request, by node. */
   private readonly times = new Map<string, Map<string, number>>();
   private localAvoidedUntilMs = 0;
+  private doubtedMs = -Infinity;
   private nodes: readonly NodeRecord[] = [];
   private updateTimer: NodeJS.Timeout | undefined;
   private isStopped = false;
@@ -144,6 +153,22 @@
     return chosen && this.createChosen(chosen.node);
   }
 
+  /** Tells some nodes of the version in force. */
+  announceVersion(random: Random): void {
+    const links = [...this.links.values()].filter((link) => link.isOpen());
+    for (const link of sampleEvenly(random, links, ANNOUNCED_LINKS)) {
+      link.probe();
+    }
+  }
+
+  /** Asks all links for a sign of life, after one connection gave none. */
+  probeAll(): void {
+    const nowMs = this.parts.clock.readMs();
+    if (nowMs - this.doubtedMs < DOUBT_PAUSE_MS) return;
+    this.doubtedMs = nowMs;
+    for (const link of this.links.values()) link.probe();
+  }
+
   /** Tells the nodes of the own service that this one calls. */
   sendSuspects(suspects: readonly CrashSuspect[]): void {
     const {service} = this.parts.self;
@@ -259,9 +284,7 @@
       report: this.parts.describeReport(),
     }),
     handleReport: (link, {configurationVersion}) => {
-      this.parts.handlePeerVersion(configurationVersion, (frame) =>
-        link.write(frame),
-      );
+      this.parts.handlePeerVersion(configurationVersion, link);
     },
     handleHello: (link, node) => {
       if (!isSameProcess(node, link.node)) this.parts.handleNode(node);
@@ -293,6 +316,7 @@
         message,
       });
     },
+    handleSilence: () => this.parts.handleSilence(),
     handleClosing: (link, calls) => {
       this.parts.record(EventCode.LINK_CLOSING, {
         node: link.node.node,
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -156,10 +156,14 @@
 /** The platform's store as a node uses it. */
 export interface FleetStore {
   list(table: StoreTable): Promise<RowBatch>;
-  /** Waits for rows changed after a version; throws HistoryLostError. */
+  /**
+   * Waits for rows changed after a version; throws a HistoryLostError, or a
+   * StoreSilentError when the wait is over without an answer.
+   */
   watch(
     table: StoreTable,
     afterVersion: number,
+    waitMs: number,
     signal: AbortSignal,
   ): Promise<RowBatch>;
   /** Writes a row of the table of nodes. */
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -16,6 +16,7 @@
 import {isStarted} from 'sycamoreyoke/process/startPhase';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
+import {chooseWatchMs} from 'sycamoreyoke/process/watchTime';
 import {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Random} from 'sycamoreyoke/random';
 import {createRandom} from 'sycamoreyoke/random';
@@ -150,6 +151,7 @@
   const metrics = container.get<Metrics>(TOKENS.metrics);
   const log = container.get<DecisionLog>(TOKENS.log);
   const {record} = log;
+  const random = container.get<Random>(TOKENS.random);
   const lifecycle: SidecarLifecycle = {
     stop: undefined,
     handleConfiguration: () => undefined,
@@ -169,8 +171,12 @@
     clock,
     decode: adapter.decodeConfiguration,
     record,
-    handleChange: () => lifecycle.handleConfiguration(),
-    handleStoreLate: () => followers[0]?.reset(),
+    handleChange: () => {
+      lifecycle.handleConfiguration();
+      peerServer.announceVersion(random);
+      peers.announceVersion(random);
+    },
+    handleStoreLate: () => configurationFollower.reset(),
   });
   const crashes = new CrashTask({
     incarnation: self.incarnation,
@@ -241,10 +247,14 @@
     record,
     describeReport,
     offerLocally: (call, handle) => upstream.offer(call, handle),
-    handlePeerVersion: (version, send) =>
-      configuration.handlePeerVersion(version, send),
+    handlePeerVersion: (version, peer) =>
+      configuration.handlePeerVersion(version, peer),
     handleConfiguration: (content) =>
       configuration.adopt(content, ConfigurationSource.PEER),
+    handleSilence: () => {
+      for (const follower of followers) follower.reset();
+      peers.probeAll();
+    },
     handleNode: (node) => fleet.handleNode(node),
     handleReplaced: (node) => fleet.removeNode(node),
     listSuspects: () => crashes.listSuspects(),
@@ -264,8 +274,8 @@
     describeSelf: () => ({node: self, report: describeReport()}),
     offer: (call, handle) => upstream.offer(call, handle),
     handleHello: (node) => fleet.handleNode(node),
-    handlePeerVersion: (version, send) =>
-      configuration.handlePeerVersion(version, send),
+    handlePeerVersion: (version, peer) =>
+      configuration.handlePeerVersion(version, peer),
     handleConfiguration: (content) =>
       configuration.adopt(content, ConfigurationSource.PEER),
     listSuspects: () => crashes.listSuspects(),
@@ -276,7 +286,7 @@
       record(EventCode.MESSAGE_MALFORMED, {source: 'peer', message}),
     frameBudget,
   });
-  const configurationFollower = new StoreFollower({
+  const configurationFollower: StoreFollower = new StoreFollower({
     clock,
     store,
     table: StoreTable.CONFIGURATION,
@@ -284,21 +294,29 @@
     handleAll: (rows) => configuration.handleRows(rows),
     handleChanges: (rows) => configuration.handleRows(rows),
     pauseMs: 0,
+    chooseWaitMs: () => chooseWatchMs(random, fleet.list().length),
+    handleSilence: () => peers.probeAll(),
   });
   const nodeFollower: StoreFollower = new StoreFollower({
     clock,
     store,
     table: StoreTable.NODES,
     record,
-    handleAll: (rows) => {
+    handleAll: (rows, version) => {
       crashes.handleRows(rows.filter(isCrashRow));
-      fleet.handleAll(rows.filter((row) => !isCrashRow(row)));
+      fleet.handleAll(
+        rows.filter((row) => !isCrashRow(row)),
+        version,
+      );
     },
     handleChanges: (rows) => {
       crashes.handleRows(rows.filter(isCrashRow));
       fleet.handleChanges(rows.filter((row) => !isCrashRow(row)));
     },
     pauseMs: NODES_PAUSE_MS,
+    // Nodes are told of silence by the other follower.
+    chooseWaitMs: () => chooseWatchMs(random, UNLISTED_NODES),
+    handleSilence: () => peers.probeAll(),
   });
   const followers = [configurationFollower, nodeFollower];
 
@@ -326,7 +344,7 @@
   };
   const origin = new OriginHandler({
     clock,
-    random: container.get<Random>(TOKENS.random),
+    random,
     wire,
     peers,
     rotation: container.get<WeightedRotation>(TOKENS.rotation),
--- a/packages/sycamoreyoke/src/random.ts
+++ b/packages/sycamoreyoke/src/random.ts
@@ -14,3 +14,14 @@
 export function takeInteger(random: Random, limit: number): number {
   return Math.floor(random() * limit);
 }
+
+/** Consecutive items from a random place on, each as likely as any other. */
+export function sampleEvenly<T>(
+  random: Random,
+  items: readonly T[],
+  count: number,
+): readonly T[] {
+  if (items.length <= count) return items;
+  const first = takeInteger(random, items.length);
+  return [...items, ...items].slice(first, first + count);
+}
