Pass over odd entries of other writers instead of ending by them

What operators of similar systems saw: one entry that is nested deeply, or has a number too large or a port out of range, ended the machines that read it again and again, or they stopped following the list.

Cause: rows were checked for types and not for ranges, so a port of 70000 threw in the timer that dials; frames between nodes were not checked at all; one bad row failed a whole answer of the store, which was then asked for again for ever; a start or count far ahead made every later report of the real upstream outdated, as did a clock set back between two starts; a duration beyond 2^31 ms made timers fire at once, so that requests were answered 504 unasked.

What seems an earlier start of the upstream counts after 5 s of silence of the later one, or once nothing listens there. A node that finds its row written over writes it again.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -19,10 +19,10 @@
 import type {ConfigurationPeer} from '../process/configurationTask.js';
 import type {ByteBudget} from './byteBudget.js';
 import type {Frame} from './peerFrames.js';
+import {FrameReader} from './frameReader.js';
 import {
   FRAME_REVISION,
   FrameKind,
-  FrameReader,
   GOODBYE_REVISION,
   TOLERANT_REVISION,
   sendFrame,
--- /dev/null
+++ b/packages/sidecar/src/connection/frameReader.test.ts
@@ -0,0 +1,161 @@
+import {expect} from 'chai';
+import {Packr} from 'msgpackr';
+import {MAX_DELAY_MS} from '../constants.js';
+import {
+  HOST,
+  REPORT,
+  createCall,
+  createFrameReader,
+  createNode,
+  createResponse,
+} from './linkHarness.test.js';
+import type {Frame} from './peerFrames.js';
+import {FRAME_REVISION, FrameKind, encodeFrame} from './peerFrames.js';
+
+const packr = new Packr({useRecords: false});
+/** First byte of a MessagePack list with one element. */
+const LIST_OF_ONE = 0x91;
+const NODE = createNode('a', {host: HOST, port: 1});
+const FRAMES: readonly Frame[] = [
+  {kind: FrameKind.HELLO, node: NODE, report: REPORT, revision: FRAME_REVISION},
+  {kind: FrameKind.CALL, id: 1, call: createCall('r-1', 3)},
+  {kind: FrameKind.CANCEL, id: 1},
+  {
+    kind: FrameKind.RESULT,
+    id: 1,
+    result: createResponse('r-1', 3),
+    report: REPORT,
+  },
+  {kind: FrameKind.PING, report: REPORT},
+  {kind: FrameKind.REPORT, report: REPORT},
+  {kind: FrameKind.CONFIGURATION, content: Buffer.from('{}')},
+  {kind: FrameKind.NODES, nodes: [NODE]},
+  {
+    kind: FrameKind.SUSPECTS,
+    suspects: [{crashId: 'c', inFlight: 1, identity: 'x'}],
+  },
+];
+/** Values that stand in the place of each field in turn. */
+const ODD_VALUES: readonly unknown[] = [
+  null,
+  -1,
+  1e300,
+  Infinity,
+  NaN,
+  Number.MAX_SAFE_INTEGER + 2,
+  '',
+  'x'.repeat(5_000),
+  [],
+  {},
+  true,
+  Buffer.alloc(3),
+  buildNested(100),
+];
+
+function buildNested(depth: number): unknown {
+  let value: unknown = 1;
+  for (let level = 0; level < depth; level += 1) value = [value];
+  return value;
+}
+
+function encodeFields(fields: unknown): Buffer {
+  const content = packr.pack(fields);
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(content.length);
+  return Buffer.concat([length, content]);
+}
+
+/** The fields of a frame with each place taken by another value in turn. */
+function* replaceEach(fields: unknown, value: unknown): Generator<unknown> {
+  yield value;
+  if (!Array.isArray(fields)) return;
+  for (const [index, field] of fields.entries()) {
+    for (const replaced of replaceEach(field, value)) {
+      yield fields.with(index, replaced);
+    }
+    yield fields.slice(0, index);
+  }
+}
+
+function readAll(bytes: Buffer): readonly Frame[] | Error {
+  const frames: Frame[] = [];
+  const reader = createFrameReader((frame) => frames.push(frame));
+  try {
+    reader.add(bytes);
+  } catch (error) {
+    return error as Error;
+  }
+  return frames;
+}
+
+/** Whether every number of a value is one that timers and sums bear. */
+function isFiniteThroughout(value: unknown): boolean {
+  if (typeof value === 'number') return Number.isFinite(value);
+  if (value === null || typeof value !== 'object') return true;
+  if (value instanceof Uint8Array) return true;
+  return Object.values(value).every(isFiniteThroughout);
+}
+
+// Guards against a check that refuses what nodes send.
+it('frames: every kind is read as it was sent', () => {
+  for (const frame of FRAMES) {
+    expect(readAll(encodeFrame(frame))).to.deep.equal([frame]);
+  }
+});
+
+// Guards against a field of another type or size that ends the process later,
+// in a timer or a connection.
+it('frames: odd fields are refused or harmless', () => {
+  let refused = 0;
+  for (const frame of FRAMES) {
+    const fields: unknown = packr.unpack(encodeFrame(frame).subarray(4));
+    for (const value of ODD_VALUES) {
+      for (const odd of replaceEach(fields, value)) {
+        const read = readAll(encodeFields(odd));
+        if (read instanceof Error) refused += 1;
+        else
+          expect(isFiniteThroughout(read), JSON.stringify(read)).to.equal(true);
+      }
+    }
+  }
+  expect(refused).to.be.above(500);
+});
+
+// Guards against nesting on which the decoder runs out of stack.
+it('frames: deep nesting is refused', () => {
+  const depth = 1_000_000;
+  const content = Buffer.alloc(depth, LIST_OF_ONE);
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(depth);
+  expect(readAll(Buffer.concat([length, content]))).to.be.instanceOf(Error);
+});
+
+// Guards against an address that no socket can be opened to.
+it('frames: nodes without a valid address are passed over', () => {
+  const addresses = [
+    {host: HOST, port: 70_000},
+    {host: HOST, port: -1},
+    {host: HOST, port: 0},
+    {host: HOST, port: 1.5},
+    {host: 'no address', port: 1},
+  ];
+  const odd = addresses.map((address) => createNode('odd', address));
+  const nodes = [...odd, NODE];
+  const frame = {kind: FrameKind.NODES, nodes} as const;
+  expect(readAll(encodeFrame(frame))).to.deep.equal([
+    {kind: FrameKind.NODES, nodes: [NODE]},
+  ]);
+});
+
+// Guards against a deadline that no timer holds, which would end a call at once.
+it('frames: times are bounded by what timers hold', () => {
+  const call = {...createCall('r-1'), leftMs: 1e15, usefulMs: 1e15};
+  const read = readAll(encodeFrame({kind: FrameKind.CALL, id: 1, call}));
+  expect(read).to.deep.equal([
+    {
+      kind: FrameKind.CALL,
+      id: 1,
+      call: {...call, leftMs: MAX_DELAY_MS, usefulMs: MAX_DELAY_MS},
+    },
+  ]);
+});
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -14,7 +14,7 @@
 } from '../types.js';
 import {ByteBudget} from './byteBudget.js';
 import type {Frame} from './peerFrames.js';
-import {FrameReader} from './peerFrames.js';
+import {FrameReader} from './frameReader.js';
 import type {LinkEvents} from './peerLink.js';
 import {PeerLink} from './peerLink.js';
 import {PeerServer} from './peerServer.js';
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -1,11 +1,9 @@
 /** Frames between nodes: a length and a MessagePack array. */
 import type {Socket} from 'node:net';
 import {Packr} from 'msgpackr';
-import {SycamoreyokeError} from 'sycamoreyoke/errors';
-import {MAX_FRAME_BYTES} from '../constants.js';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
-import type {SendEnd} from 'sycamoreyoke/request/resend';
-import type {Importance} from 'sycamoreyoke/types';
+import {SendEnd} from 'sycamoreyoke/request/resend';
+import {Importance} from 'sycamoreyoke/types';
 import type {
   CallResult,
   GateReason,
@@ -14,8 +12,20 @@
   NodeReport,
   OutgoingCall,
 } from '../types.js';
-import type {ByteBudget} from './byteBudget.js';
-import {ByteList} from './byteList.js';
+import {isAddress} from '../types.js';
+import {
+  FrameError,
+  readAmount,
+  readBytes,
+  readCount,
+  readDelay,
+  readFlag,
+  readHeaders,
+  readList,
+  readMember,
+  readName,
+  readText,
+} from './frameFields.js';
 
 export enum FrameKind {
   HELLO = 1,
@@ -76,8 +86,13 @@
       readonly suspects: readonly CrashSuspect[];
     };
 
-const LENGTH_BYTES = 4;
+/** Bytes of the length in front of a frame. */
+export const LENGTH_BYTES = 4;
 const packr = new Packr({useRecords: false});
+const SEND_ENDS: ReadonlySet<SendEnd> = new Set(Object.values(SendEnd));
+const IMPORTANCES: ReadonlySet<Importance> = new Set(
+  Object.values(Importance).filter((value) => typeof value === 'number'),
+);
 
 /** Renders a frame. */
 export function encodeFrame(frame: Frame): Buffer {
@@ -88,77 +103,6 @@
   return message;
 }
 
-/** A peer that does not speak the protocol. */
-export class FrameError extends SycamoreyokeError {}
-
-/** What a reader of frames needs of its link. */
-export interface FrameReaderParts {
-  readonly handle: (frame: Frame) => void;
-  /** Bytes of unfinished frames, of all links together. */
-  readonly budget: ByteBudget<FrameReader>;
-  /** Called when the link has to close for the sake of the others. */
-  readonly handleExcess: (message: string) => void;
-}
-
-/** Cuts a stream of bytes into frames. */
-export class FrameReader {
-  private bytes = new ByteList();
-  private wanted = LENGTH_BYTES;
-  private isInContent = false;
-  private isClosed = false;
-
-  constructor(private readonly parts: FrameReaderParts) {}
-
-  /** Takes bytes in and hands on each frame that is complete. */
-  add(chunk: Buffer): void {
-    if (this.isClosed) return;
-    this.bytes.add(chunk);
-    while (this.bytes.readLength() >= this.wanted) {
-      const part = this.take(this.wanted);
-      if (this.isInContent) {
-        this.isInContent = false;
-        this.wanted = LENGTH_BYTES;
-        const frame = decodeFrame(part);
-        if (frame) this.parts.handle(frame);
-      } else {
-        this.wanted = part.readUInt32BE(0);
-        this.isInContent = true;
-        if (this.wanted > MAX_FRAME_BYTES) {
-          throw new FrameError(`frame of ${this.wanted} bytes is too large`);
-        }
-      }
-    }
-    this.reserveBytes();
-  }
-
-  /** Gives the bytes of an unfinished frame up. */
-  close(): void {
-    this.isClosed = true;
-    this.bytes = new ByteList();
-    this.parts.budget.release(this);
-  }
-
-  private reserveBytes(): void {
-    const {budget} = this.parts;
-    budget.release(this);
-    const length = this.bytes.readLength();
-    if (length === 0 || this.isClosed) return;
-    budget.reserve(this, length)?.closeForOthers();
-  }
-
-  private closeForOthers(): void {
-    this.close();
-    this.parts.handleExcess('unfinished frames are too large together');
-  }
-
-  private take(length: number): Buffer {
-    const whole = this.bytes.join();
-    this.bytes = new ByteList();
-    if (whole.length > length) this.bytes.add(whole.subarray(length));
-    return whole.subarray(0, length);
-  }
-}
-
 /** Writes a frame unless the socket is gone. */
 export function sendFrame(socket: Socket, frame: Frame): void {
   if (socket.writable) socket.write(encodeFrame(frame));
@@ -247,7 +191,7 @@
 }
 
 /** Gives nothing for a kind that only nodes of a later version know. */
-function decodeFrame(content: Buffer): Frame | undefined {
+export function decodeFrame(content: Buffer): Frame | undefined {
   const fields: unknown = packr.unpack(content);
   if (!Array.isArray(fields)) throw new FrameError('frame is not a list');
   const [kind, first, second, third] = fields as [FrameKind, ...unknown[]];
@@ -255,34 +199,30 @@
     case FrameKind.HELLO:
       return {
         kind,
-        node: readNode(first as NodeFields),
-        report: readReport(second as ReportFields),
-        revision: Number(third ?? 0),
+        node: readNode(first),
+        report: readReport(second),
+        revision: readCount(third ?? 0),
       };
     case FrameKind.CALL:
-      return {
-        kind,
-        id: first as number,
-        call: readCall(second as CallFields),
-      };
+      return {kind, id: readCount(first), call: readCall(second)};
     case FrameKind.CANCEL:
-      return {kind, id: first as number};
+      return {kind, id: readCount(first)};
     case FrameKind.RESULT:
       return {
         kind,
-        id: first as number,
-        result: readResult(second as ResultFields),
-        report: readReport(third as ReportFields),
+        id: readCount(first),
+        result: readResult(second),
+        report: readReport(third),
       };
     case FrameKind.PING:
     case FrameKind.REPORT:
-      return {kind, report: readReport(first as ReportFields)};
+      return {kind, report: readReport(first)};
     case FrameKind.CONFIGURATION:
-      return {kind, content: first as Uint8Array};
+      return {kind, content: readBytes(first)};
     case FrameKind.NODES:
-      return {kind, nodes: (first as readonly NodeFields[]).map(readNode)};
+      return {kind, nodes: readNodes(first)};
     case FrameKind.SUSPECTS:
-      return {kind, suspects: readCrashes(first as readonly CrashFields[])};
+      return {kind, suspects: readCrashes(first)};
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
     case FrameKind.GOODBYE:
@@ -298,9 +238,29 @@
   return [node.node, incarnation, service, dataCentre, host, port];
 }
 
-function readNode(fields: NodeFields): NodeRecord {
-  const [node, incarnation, service, dataCentre, host, port] = fields;
-  return {node, incarnation, service, dataCentre, address: {host, port}};
+function readNode(value: unknown): NodeRecord {
+  const [node, incarnation, service, dataCentre, host, port] = readList(value);
+  const address = {host: readName(host), port: readCount(port)};
+  if (!isAddress(address)) throw new FrameError('node has no valid address');
+  return {
+    node: readName(node),
+    incarnation: readName(incarnation),
+    service: readName(service),
+    dataCentre: readName(dataCentre),
+    address,
+  };
+}
+
+/** A node that cannot be read says nothing of the others. */
+function readNodes(value: unknown): readonly NodeRecord[] {
+  return readList(value).flatMap((fields) => {
+    try {
+      return [readNode(fields)];
+    } catch (error) {
+      if (error instanceof FrameError) return [];
+      throw error;
+    }
+  });
 }
 
 /** Suspects of one crash share its id. */
@@ -314,10 +274,15 @@
   return [...crashes.values()];
 }
 
-function readCrashes(crashes: readonly CrashFields[]): CrashSuspect[] {
-  return crashes.flatMap(([crashId, inFlight, identities]) =>
-    identities.map((identity) => ({crashId, inFlight, identity})),
-  );
+function readCrashes(value: unknown): CrashSuspect[] {
+  return readList(value).flatMap((crash) => {
+    const [crashId, inFlight, identities] = readList(crash);
+    const shared = {crashId: readName(crashId), inFlight: readCount(inFlight)};
+    return readList(identities).map((identity) => ({
+      ...shared,
+      identity: readName(identity),
+    }));
+  });
 }
 
 function buildReport({configurationVersion, load}: NodeReport): ReportFields {
@@ -332,12 +297,19 @@
   ];
 }
 
-function readReport(fields: ReportFields): NodeReport {
-  const [configurationVersion, isAvailable, isDraining, ...numbers] = fields;
+function readReport(value: unknown): NodeReport {
+  const [version, isAvailable, isDraining, ...numbers] = readList(value);
   const [limit, running, waiting, meanServiceMs] = numbers;
   return {
-    configurationVersion,
-    load: {isAvailable, isDraining, limit, running, waiting, meanServiceMs},
+    configurationVersion: readCount(version),
+    load: {
+      isAvailable: readFlag(isAvailable),
+      isDraining: readFlag(isDraining),
+      limit: readAmount(limit),
+      running: readAmount(running),
+      waiting: readAmount(waiting),
+      meanServiceMs: readAmount(meanServiceMs),
+    },
   };
 }
 
@@ -358,23 +330,23 @@
   ];
 }
 
-function readCall(fields: CallFields): OutgoingCall {
+function readCall(value: unknown): OutgoingCall {
   const [requestId, service, callerService, kind, method, path, ...rest] =
-    fields;
+    readList(value);
   const [headers, body, leftMs, usefulMs, importance, isIdempotent] = rest;
   return {
-    requestId,
-    service,
-    callerService,
-    kind,
-    method,
-    path,
-    headers,
-    body,
-    leftMs,
-    usefulMs,
-    importance,
-    isIdempotent,
+    requestId: readText(requestId),
+    service: readText(service),
+    callerService: readText(callerService),
+    kind: readText(kind),
+    method: readName(method),
+    path: readText(path),
+    headers: readHeaders(headers),
+    body: readBytes(body),
+    leftMs: readDelay(leftMs),
+    usefulMs: readDelay(usefulMs),
+    importance: readMember(IMPORTANCES, importance),
+    isIdempotent: readFlag(isIdempotent),
   };
 }
 
@@ -383,14 +355,15 @@
   return [end, reason ?? null, retryAfterMs, status, headers, body];
 }
 
-function readResult(fields: ResultFields): CallResult {
-  const [end, reason, retryAfterMs, status, headers, body] = fields;
+function readResult(value: unknown): CallResult {
+  const [end, reason, retryAfterMs, status, headers, body] = readList(value);
   return {
-    end,
-    reason: reason ?? undefined,
-    retryAfterMs,
-    status,
-    headers,
-    body,
+    end: readMember(SEND_ENDS, end),
+    // A node of a later version may know other reasons.
+    reason: typeof reason === 'string' ? (reason as GateReason) : undefined,
+    retryAfterMs: readDelay(retryAfterMs),
+    status: readCount(status),
+    headers: readHeaders(headers),
+    body: readBytes(body),
   };
 }
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -26,10 +26,10 @@
 import {GateReason} from '../types.js';
 import type {ByteBudget} from './byteBudget.js';
 import type {Frame} from './peerFrames.js';
+import {FrameReader} from './frameReader.js';
 import {
   FRAME_REVISION,
   FrameKind,
-  FrameReader,
   TOLERANT_REVISION,
   sendFrame,
 } from './peerFrames.js';
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -1,5 +1,7 @@
 /** Timeouts and limits of a sidecar, each with its unit. */
 
+/** Longest time that a timer holds; a longer one would end at once, ms. */
+export const MAX_DELAY_MS = 2 ** 31 - 1;
 /** Connecting on a local network takes milliseconds; a lost packet costs 1 s. */
 export const CONNECT_TIMEOUT_MS = 1_200;
 /** Interval at which links are looked at. */
--- a/packages/sidecar/src/process/fleetTask.ts
+++ b/packages/sidecar/src/process/fleetTask.ts
@@ -45,10 +45,7 @@
       if (this.isStopped) return;
       const {message} = error as Error;
       record(EventCode.NODE_ROW_DELAYED, {message});
-      this.writeTimer = setTimeout(
-        () => void this.announce(),
-        STORE_RETRY_MAX_MS,
-      );
+      this.announceIfMissing(false);
     }
   }
 
@@ -64,21 +61,16 @@
       this.nodes.delete(name);
     }
     this.handleChanges(rows);
-    this.announceIfMissing(keys.has(this.parts.self.node));
+    if (!keys.has(this.parts.self.node)) this.announceIfMissing(false);
   }
 
   handleChanges(rows: readonly StoredRow[]): void {
     for (const {key, value, version} of rows) {
       if (version < (this.rowVersions.get(key) ?? 0)) continue;
       this.rowVersions.set(key, version);
-      const node = value && this.parts.decodeNode(value);
-      if (node?.node === key) this.nodes.set(key, node);
-      else this.removeRow(key, value !== undefined);
+      this.applyRow(key, value);
     }
     this.parts.handleChange(this.list());
-    const {node: own} = this.parts.self;
-    const isRemoved = rows.some(({key, value}) => key === own && !value);
-    this.announceIfMissing(!isRemoved);
   }
 
   /** A node that was met directly is newer than its row. */
@@ -123,20 +115,37 @@
     clearTimeout(this.writeTimer);
   }
 
-  /** A row that others took for that of a lost node is written again. */
+  /** A row that others removed or wrote over is written again. */
   private announceIfMissing(isPresent: boolean): void {
-    if (!isPresent && !this.isStopped) void this.announce();
+    if (isPresent || this.isStopped) {
+      clearTimeout(this.writeTimer);
+      this.writeTimer = undefined;
+      return;
+    }
+    // The row that was written at the start may only be on its way.
+    this.writeTimer ??= setTimeout(() => {
+      this.writeTimer = undefined;
+      void this.announce();
+    }, STORE_RETRY_MAX_MS);
   }
 
-  private removeRow(key: string, isMalformed: boolean): void {
-    if (isMalformed) {
+  private applyRow(key: string, value: Uint8Array | undefined): void {
+    const {self} = this.parts;
+    const node = value && this.parts.decodeNode(value);
+    const isNode = node?.node === key;
+    if (key === self.node) {
+      this.announceIfMissing(isNode && node.incarnation === self.incarnation);
+    }
+    if (isNode) {
+      this.nodes.set(key, node);
+    } else if (value) {
+      // Another writer's row: a node of that name is known until it is lost.
       const message = `row "${key}" does not describe a node`;
-      this.parts.record(EventCode.MESSAGE_MALFORMED, {
-        source: 'store',
-        message,
-      });
+      const details = {source: 'store', message};
+      this.parts.record(EventCode.MESSAGE_MALFORMED, details);
+    } else {
+      this.nodes.delete(key);
+      this.rowVersions.delete(key);
     }
-    this.nodes.delete(key);
-    this.rowVersions.delete(key);
   }
 }
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -9,7 +9,7 @@
 } from 'sycamoreyoke/process/placement';
 import {choosePlacement} from 'sycamoreyoke/process/placement';
 import type {ByteBudget} from '../connection/byteBudget.js';
-import type {FrameReader} from '../connection/peerFrames.js';
+import type {FrameReader} from '../connection/frameReader.js';
 import {FrameKind} from '../connection/peerFrames.js';
 import type {LinkEvents} from '../connection/peerLink.js';
 import {PeerLink} from '../connection/peerLink.js';
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -375,10 +375,9 @@
 
   /** Whether the end of the upstream at this time has been announced. */
   private isPastDrain(): boolean {
-    const {drainingSinceMs} = this.parts.presence.read() ?? {};
-    if (drainingSinceMs === undefined) return false;
-    const drainedMs = this.parts.clock.readMs() - drainingSinceMs;
-    return drainedMs >= this.parts.drainMs;
+    const nowMs = this.parts.clock.readMs();
+    const {drainingSinceMs = nowMs} = this.parts.presence.read() ?? {};
+    return nowMs - drainingSinceMs >= this.parts.drainMs;
   }
 
   private recordEnd(isPlanned: boolean): void {
@@ -397,7 +396,10 @@
 
   private markDown(hasNoListener: boolean): void {
     const wasDown = this.isDown();
-    if (hasNoListener) this.recordEnd(this.isPastDrain());
+    if (hasNoListener) {
+      this.parts.presence.recordEnd();
+      this.recordEnd(this.isPastDrain());
+    }
     this.downUntilMs = this.parts.clock.readMs() + UPSTREAM_DOWN_MS;
     if (wasDown) return;
     this.parts.pool.close();
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -1,9 +1,12 @@
 /** What the sidecar's tasks say to each other, and what an adapter supplies. */
+import {isIP} from 'node:net';
 import type {Importance} from 'sycamoreyoke/types';
 import type {SendEnd} from 'sycamoreyoke/request/resend';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
 import type {RouteTable} from 'sycamoreyoke/version/routeTable';
 
+const LARGEST_PORT = 65_535;
+
 /** Header names and values in turn, as they arrived. */
 export type HeaderList = readonly string[];
 
@@ -13,6 +16,16 @@
   readonly port: number;
 }
 
+/** Whether a socket can be opened to an address. */
+export function isAddress({host, port}: Address): boolean {
+  return (
+    isIP(host) !== 0 &&
+    Number.isInteger(port) &&
+    port > 0 &&
+    port <= LARGEST_PORT
+  );
+}
+
 /** A call on its way to the node beside an upstream. */
 export interface OutgoingCall {
   readonly requestId: string;
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -23,7 +23,7 @@
 import {CallParents} from 'sycamoreyoke/process/callParents';
 import {ByteBudget} from './connection/byteBudget.js';
 import {ClientListener} from './connection/clientListener.js';
-import type {FrameReader} from './connection/peerFrames.js';
+import type {FrameReader} from './connection/frameReader.js';
 import {PeerServer} from './connection/peerServer.js';
 import {UpstreamPool} from './connection/upstreamPool.js';
 import {
--- a/packages/sycamoreyoke/src/process/upstreamPresence.test.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.test.ts
@@ -64,3 +64,30 @@
   expect(presence.recordLeave('i-0')).to.equal(PresenceChange.OUTDATED);
   expect(presence.recordLeave('i-1')).to.equal(PresenceChange.DRAINING);
 });
+
+// Guards against an upstream that is refused for ever because the clock was set
+// back between two starts, or because of one report of a start far ahead.
+it('presence: an earlier start counts once the later one keeps silent', () => {
+  const clock = new VirtualClock();
+  const presence = new UpstreamPresence(clock);
+  const later = {...HEARTBEAT, bornMs: Number.MAX_SAFE_INTEGER, sequence: 9};
+  presence.observe(later);
+  const observe = (sequence: number) =>
+    presence.observe({...HEARTBEAT, sequence});
+  clock.advance(2_000);
+  expect(observe(1)).to.equal(PresenceChange.OUTDATED);
+  expect(observe(2)).to.equal(PresenceChange.OUTDATED);
+  clock.advance(3_000);
+  expect(observe(2)).to.equal(PresenceChange.OUTDATED);
+  expect(observe(3)).to.equal(PresenceChange.STARTED);
+  expect(presence.read()?.bornMs).to.equal(HEARTBEAT.bornMs);
+});
+
+// Guards against a report that was held up and that a restart is mistaken for.
+it('presence: an earlier start counts at once after an end was seen', () => {
+  const {presence} = observeAll({bornMs: 2_000, sequence: 9});
+  presence.recordEnd();
+  const restarted = {...HEARTBEAT, bornMs: 1_500, sequence: 1};
+  expect(presence.observe(restarted)).to.equal(PresenceChange.STARTED);
+  expect(presence.observe(HEARTBEAT)).to.equal(PresenceChange.OUTDATED);
+});
--- a/packages/sycamoreyoke/src/process/upstreamPresence.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.ts
@@ -14,6 +14,9 @@
   readonly bornMs: number;
 }
 
+/** Three heartbeats: an upstream that runs is heard within this time, ms. */
+const SILENCE_MS = 5_000;
+
 export enum PresenceChange {
   NONE = 'none',
   /** Another incarnation of the upstream, or the first one. */
@@ -43,6 +46,10 @@
  */
 export class UpstreamPresence {
   private current: PresentUpstream | undefined;
+  /** The latest report that seemed earlier than the current one. */
+  private rival: UpstreamHeartbeat | undefined;
+  /** The current incarnation has ended without notice. */
+  private hasEnded = false;
 
   constructor(private readonly clock: Clock) {}
 
@@ -57,12 +64,15 @@
       this.store(heartbeat, undefined);
       return PresenceChange.STARTED;
     }
-    const isSame =
-      heartbeat.instance === known.instance &&
-      heartbeat.bornMs === known.bornMs;
-    if (!isSame || heartbeat.sequence <= known.sequence) {
+    const isSame = isSameStart(heartbeat, known);
+    const isNext = isSame && heartbeat.sequence > known.sequence;
+    if (!isNext && !this.isSuccessor(heartbeat, known)) {
       return PresenceChange.OUTDATED;
     }
+    if (!isSame) {
+      this.store(heartbeat, undefined);
+      return PresenceChange.STARTED;
+    }
     const wasDraining = known.drainingSinceMs !== undefined;
     this.store(heartbeat, known.drainingSinceMs);
     if (wasDraining) return PresenceChange.NONE;
@@ -81,16 +91,44 @@
     return PresenceChange.DRAINING;
   }
 
+  /** Nothing listens at the address of the upstream any more. */
+  recordEnd(): void {
+    this.hasEnded = true;
+  }
+
   /** Forgets an instance that turned out not to be there any more. */
   clearInstance(instance: string): void {
     if (this.current?.instance === instance) this.current = undefined;
   }
 
+  /**
+   * The clock may have been set back between two starts, and a start or count
+   * far ahead may be a fault. What seems earlier counts once the later one has
+   * ended, or keeps silent while the other goes on to report; a single report
+   * may have been held up.
+   */
+  private isSuccessor(
+    heartbeat: UpstreamHeartbeat,
+    known: PresentUpstream,
+  ): boolean {
+    const {rival} = this;
+    this.rival = heartbeat;
+    const silentMs = this.clock.readMs() - known.heardMs;
+    const isRepeated =
+      rival !== undefined &&
+      isSameStart(rival, heartbeat) &&
+      heartbeat.sequence > rival.sequence;
+    const isRestarted = this.hasEnded && !isSameStart(heartbeat, known);
+    return isRestarted || (isRepeated && silentMs >= SILENCE_MS);
+  }
+
   private store(
     heartbeat: UpstreamHeartbeat,
     drainingSinceMs: number | undefined,
   ): void {
     const nowMs = this.clock.readMs();
+    this.rival = undefined;
+    this.hasEnded = false;
     const {instance, slots, bornMs, sequence, coldMs, isDraining} = heartbeat;
     this.current = {
       instance,
@@ -106,6 +144,13 @@
   }
 }
 
+function isSameStart(
+  first: Pick<UpstreamHeartbeat, 'instance' | 'bornMs'>,
+  second: Pick<UpstreamHeartbeat, 'instance' | 'bornMs'>,
+): boolean {
+  return first.instance === second.instance && first.bornMs === second.bornMs;
+}
+
 function isNewer(
   heartbeat: UpstreamHeartbeat,
   known: PresentUpstream,
