Believe no refusal that may be an earlier one

What operators of similar systems saw: a faulty upstream wrote an earlier refusal once more on a kept connection; clients were told 'not run, try again' for requests that ran (REFUSED), or they ran at a second upstream (TWICE).

Cause: refusals carry no request id, and a response without an id counted as that of the request under way. A connection on which a response of another request had been passed over was used again.

Change: a request that must not run twice takes a connection that carried no refusal, and a new one for 60 s after any refusal or unexpected response of the upstream. On a kept connection a refusal without an id is not believed: the response of the request counts if it follows within 1 s, else the outcome is unknown. Repeatable requests believe it and go elsewhere as before. Results on links are matched by numbers that are never used twice; a test pins that.

--- a/packages/sidecar/src/connection/linkLoss.test.ts
+++ b/packages/sidecar/src/connection/linkLoss.test.ts
@@ -6,6 +6,7 @@
   HOST,
   REPORT,
   createCall,
+  createFrameReader,
   createNode,
   createResponse,
   openLink,
@@ -15,7 +16,10 @@
   sendCall,
   waitFor,
 } from './linkHarness.test.js';
+import type {CallResult} from '../types.js';
+import {GateReason} from '../types.js';
 import {FRAME_REVISION, FrameKind, encodeFrame} from './peerFrames.js';
+import {createFailure} from './peerLink.js';
 
 const LARGE_BYTES = 8 * 1024 * 1024;
 /** 8 MB take longer than a link may be silent. */
@@ -72,3 +76,36 @@
   expect(later.end).to.equal(SendEnd.REFUSED_BY_GATE);
   expect(elapsedMs).to.be.lessThan(PING_MS);
 });
+
+// Guards against a refusal that a node sends once more and that is taken for the
+// result of the next call, which runs.
+it('link loss: a result that is sent twice belongs to its own call', async () => {
+  const ids: number[] = [];
+  let accepted: Socket | undefined;
+  const peer = await openRawServer((socket) => {
+    accepted = socket;
+    sendHello(socket);
+    const reader = createFrameReader((frame) => {
+      if (frame.kind === FrameKind.CALL) ids.push(frame.id);
+    });
+    socket.on('data', (chunk) => reader.add(chunk));
+  });
+  const send = (id: number, result: CallResult) =>
+    accepted?.write(
+      encodeFrame({kind: FrameKind.RESULT, id, result, report: REPORT}),
+    );
+  const refusal = createFailure(SendEnd.REFUSED_BY_GATE, GateReason.OVERLOADED);
+  const link = await openLink(peer.address);
+  const first = sendCall(link, createCall('first'));
+  await waitFor(() => ids.length === 1);
+  send(ids[0] ?? 0, refusal);
+  const second = sendCall(link, createCall('second'));
+  await waitFor(() => ids.length === 2);
+  send(ids[0] ?? 0, refusal);
+  send(ids[1] ?? 0, createResponse('second'));
+  expect((await first).end).to.equal(SendEnd.REFUSED_BY_GATE);
+  expect((await second).end).to.equal(SendEnd.RESPONSE);
+  link.stop();
+  accepted?.destroy();
+  peer.server.close();
+});
--- a/packages/sidecar/src/connection/upstreamConnection.test.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.test.ts
@@ -3,11 +3,12 @@
 import {expect} from 'chai';
 import {systemClock} from '@sycamoreyoke/node/process/systemClock';
 import {Completion} from 'sycamoreyoke/process/types';
+import {SendEnd} from 'sycamoreyoke/request/resend';
 import {Importance} from 'sycamoreyoke/types';
 import type {RunEnd} from '../request/upstreamRun.js';
 import {UpstreamRun} from '../request/upstreamRun.js';
 import type {OutgoingCall, WireProtocol} from '../types.js';
-import {ExchangeEnd} from './upstreamConnection.js';
+import {ExchangeEnd, ResponseOwner} from './upstreamConnection.js';
 import {UpstreamPool} from './upstreamPool.js';
 
 const RESPONSE = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole';
@@ -16,7 +17,7 @@
   path: '/book/1',
   headers: [],
   body: Buffer.from('b'),
-  isOwnResponse: () => true,
+  findOwner: () => ResponseOwner.THIS_REQUEST,
 };
 
 const CALL: OutgoingCall = {
@@ -125,3 +126,83 @@
   const result = await pool.take(Infinity).run(REQUEST);
   expect(result).to.include({end: ExchangeEnd.NOT_SENT, isRefused: true});
 });
+
+const REFUSAL = 'HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n';
+const NAMED = 'HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 5\r\n\r\nwhole';
+
+/** Runs two requests on one connection; the second gets what is given. */
+async function runOnKept(
+  isIdempotent: boolean,
+  respond: (socket: Socket) => void,
+): Promise<{end: RunEnd; connections: number}> {
+  let requests = 0;
+  let connections = 0;
+  const server = createServer((socket) => {
+    connections += 1;
+    socket.on('error', () => socket.destroy());
+    socket.on('data', () => {
+      requests += 1;
+      if (requests === 1) socket.write(NAMED);
+      else respond(socket);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const pool = new UpstreamPool(
+    {host: '127.0.0.1', port},
+    () => systemClock.readMs(),
+    () => undefined,
+  );
+  const runOnce = () =>
+    new Promise<RunEnd>((handle) =>
+      new UpstreamRun({
+        call: {...CALL, isIdempotent},
+        instance: 'i-1',
+        deadlineMs: systemClock.readMs() + 3_000,
+        readMs: () => systemClock.readMs(),
+        wire: {
+          ...WIRE,
+          readUpstreamHead: (status, headers) => ({
+            requestId: headers[0] === 'X-Id' ? headers[1] : undefined,
+            isSealed: true,
+            isNotRun: status === 503,
+            isOtherInstance: false,
+          }),
+        },
+        pool,
+        handle,
+      }).start(),
+    );
+  await runOnce();
+  const end = await runOnce();
+  pool.close();
+  server.close();
+  return {end, connections};
+}
+
+// Guards against a booking that runs and is refused, because the refusal of an
+// earlier request was written once more on its connection.
+it('upstream run: a refusal on a kept connection may be an earlier one', async () => {
+  const {end, connections} = await runOnKept(false, (socket) => {
+    socket.write(REFUSAL);
+    setTimeout(() => socket.write(NAMED), 100);
+  });
+  expect(connections).to.equal(1);
+  expect([end.result.end, end.result.status]).to.deep.equal([
+    SendEnd.RESPONSE,
+    200,
+  ]);
+});
+
+// Guards against a booking whose run was cut short and that is said not to have
+// run.
+it('upstream run: an unclear refusal alone leaves the outcome unknown', async () => {
+  const {end} = await runOnKept(false, (socket) => socket.write(REFUSAL));
+  expect(end.result.end).to.equal(SendEnd.LOST);
+});
+
+// Guards against repeatable requests that wait for a response for nothing.
+it('upstream run: a repeatable request believes each refusal', async () => {
+  const {end} = await runOnKept(true, (socket) => socket.write(REFUSAL));
+  expect(end.result.end).to.equal(SendEnd.REFUSED_BY_UPSTREAM);
+});
--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -22,8 +22,22 @@
   readonly path: string;
   readonly headers: HeaderList;
   readonly body: Uint8Array;
-  /** Whether a response belongs to the request; others are passed over. */
-  readonly isOwnResponse: (status: number, headers: HeaderList) => boolean;
+  /** Tells whose response it is; only that of the request is handed on. */
+  readonly findOwner: (
+    status: number,
+    headers: HeaderList,
+    isKeptConnection: boolean,
+  ) => ResponseOwner;
+}
+
+/** The request to which a response belongs. */
+export enum ResponseOwner {
+  THIS_REQUEST = 'this-request',
+  /** The request, which the upstream says not to have run. */
+  THIS_REFUSED = 'this-refused',
+  ANOTHER_REQUEST = 'another-request',
+  /** It names no request and may be an earlier one once more. */
+  UNCLEAR = 'unclear',
 }
 
 export enum ExchangeEnd {
@@ -63,7 +77,7 @@
 }
 
 interface PartialResponse extends ResponseHead {
-  readonly isOwn: boolean;
+  readonly owner: ResponseOwner | undefined;
   readonly body: ByteList;
 }
 
@@ -77,10 +91,13 @@
   readonly handleIdle: (connection: UpstreamConnection) => void;
   /** Called with bytes for which no request waits. */
   readonly handleUnasked: (message: string) => void;
+  /** Called with a refusal, or a response that belongs to another request. */
+  readonly handleDoubt: () => void;
   /** Called when the upstream could not be connected to. */
   readonly handleConnectFailure?: (hasNoListener: boolean) => void;
 }
 
+const FIRST_FINAL_STATUS = 200;
 const NO_BODY_STATUSES = new Set([204, 304]);
 
 /** Owns a socket and the parser of what arrives on it. */
@@ -95,6 +112,11 @@
   /** Whether bytes of the request may have reached the upstream. */
   private isSent = false;
   private idleSinceMs = 0;
+  private isKept = false;
+  /** Responses that were not expected have arrived. */
+  private isOutOfStep = false;
+  /** A refusal was read, which may be written once more. */
+  private hasRefused = false;
   private maxIdleMs = UPSTREAM_IDLE_MS;
 
   constructor(private readonly parts: ConnectionParts) {
@@ -145,6 +167,11 @@
     return !this.isClosed && idleMs < Math.min(maxIdleMs, this.maxIdleMs);
   }
 
+  /** Whether a refusal that arrives next can only be that of the next request. */
+  isCertain(): boolean {
+    return !this.hasRefused;
+  }
+
   /** Closes the connection; a running exchange is lost. */
   close(message: string, reason = GateReason.CONNECTION_LOST): void {
     if (this.isClosed) return;
@@ -224,8 +251,8 @@
     const {request} = this.exchange ?? {};
     if (!request) return false;
     const {status, headers} = head;
-    const isOwn = status >= 200 && request.isOwnResponse(status, headers);
-    this.response = {...head, isOwn, body: new ByteList()};
+    const owner = this.findOwner(request, head);
+    this.response = {...head, owner, body: new ByteList()};
     const length = Number(getHeader(headers, 'content-length') ?? 0);
     if (request.method === 'HEAD' || NO_BODY_STATUSES.has(status)) return false;
     if (length > RESPONSE_LIMITS.maxBodyBytes) {
@@ -235,12 +262,27 @@
     return true;
   }
 
+  /** An interim response belongs to no request. */
+  private findOwner(
+    request: UpstreamRequest,
+    {status, headers}: ResponseHead,
+  ): ResponseOwner | undefined {
+    if (status < FIRST_FINAL_STATUS) return undefined;
+    const owner = request.findOwner(status, headers, this.isKept);
+    const isRefusal = owner === ResponseOwner.THIS_REFUSED;
+    const isOwn = isRefusal || owner === ResponseOwner.THIS_REQUEST;
+    if (isRefusal) this.hasRefused = true;
+    if (!isOwn) this.isOutOfStep = true;
+    if (isRefusal || !isOwn) this.parts.handleDoubt();
+    return owner;
+  }
+
   private addBody(piece: Buffer): void {
     const {response, exchange} = this;
     if (!response || !exchange) return;
     exchange.bytes.body += piece.length;
     this.checkBytes(exchange.bytes);
-    if (!response.isOwn || this.isClosed) return;
+    if (!isOwn(response) || this.isClosed) return;
     response.body.add(piece);
     const largest = this.parts.budget.reserve(this, piece.length);
     largest?.close(
@@ -252,7 +294,7 @@
   private finishResponse(): void {
     const {response} = this;
     this.response = undefined;
-    if (!response?.isOwn || !this.exchange) return;
+    if (!response || !isOwn(response) || !this.exchange) return;
     const {status, headers, isKeptAlive} = response;
     const body = response.body.join();
     this.maxIdleMs = readIdleMs(headers);
@@ -260,7 +302,9 @@
     const isFlushed = this.socket.writableLength === 0;
     const hasLength = hasDelimiter(status, headers);
     const isAlone = !this.parser.hasMore();
-    const isReusable = isKeptAlive && isFlushed && hasLength && isAlone;
+    const isReusable =
+      isKeptAlive && isFlushed && hasLength && isAlone && !this.isOutOfStep;
+    this.isKept = true;
     this.settle({end: ExchangeEnd.RESPONSE, status, headers, body});
     if (isReusable) this.parts.handleIdle(this);
     else this.close('connection is not reused');
@@ -275,6 +319,12 @@
   }
 }
 
+function isOwn({owner}: PartialResponse): boolean {
+  return (
+    owner === ResponseOwner.THIS_REQUEST || owner === ResponseOwner.THIS_REFUSED
+  );
+}
+
 function createUnsent(message: string) {
   return {
     end: ExchangeEnd.NOT_SENT,
--- a/packages/sidecar/src/connection/upstreamPool.ts
+++ b/packages/sidecar/src/connection/upstreamPool.ts
@@ -1,5 +1,5 @@
 /** Connections to the upstream that wait for their next request. */
-import {RESPONSE_BUFFER_BYTES} from '../constants.js';
+import {RESPONSE_BUFFER_BYTES, UPSTREAM_DOUBT_MS} from '../constants.js';
 import type {Address} from '../types.js';
 import {ByteBudget} from './byteBudget.js';
 import {UpstreamConnection} from './upstreamConnection.js';
@@ -7,6 +7,7 @@
 /** Hands out the connection that was idle for the shortest time. */
 export class UpstreamPool {
   private idle: UpstreamConnection[] = [];
+  private doubtedUntilMs = -Infinity;
   private readonly budget = new ByteBudget<UpstreamConnection>(
     RESPONSE_BUFFER_BYTES,
   );
@@ -18,6 +19,20 @@
     private readonly handleUnasked: (message: string) => void,
   ) {}
 
+  /**
+   * A connection for a request that must not run twice: one on which a refusal
+   * that is read can be believed.
+   */
+  takeCertain(maxIdleMs: number): UpstreamConnection {
+    if (this.readMs() < this.doubtedUntilMs) return this.open();
+    const index = this.idle.findLastIndex(
+      (connection) =>
+        connection.isCertain() && connection.isReusable(maxIdleMs),
+    );
+    const [connection] = index < 0 ? [] : this.idle.splice(index, 1);
+    return connection ?? this.open();
+  }
+
   /** A connection that has not been idle for longer, or a new one. */
   take(maxIdleMs: number): UpstreamConnection {
     const latest = this.idle.pop();
@@ -39,7 +54,8 @@
     });
   }
 
-  private open(
+  /** A new connection. */
+  open(
     handleConnectFailure?: (hasNoListener: boolean) => void,
   ): UpstreamConnection {
     return new UpstreamConnection({
@@ -47,11 +63,19 @@
       readMs: this.readMs,
       budget: this.budget,
       handleIdle: (connection) => this.idle.push(connection),
-      handleUnasked: this.handleUnasked,
+      handleUnasked: (message) => {
+        this.recordDoubt();
+        this.handleUnasked(message);
+      },
+      handleDoubt: () => this.recordDoubt(),
       ...(handleConnectFailure ? {handleConnectFailure} : {}),
     });
   }
 
+  private recordDoubt(): void {
+    this.doubtedUntilMs = this.readMs() + UPSTREAM_DOUBT_MS;
+  }
+
   /** Closes all idle connections, for example after a crash. */
   close(): void {
     for (const connection of this.idle) connection.close('pool closed');
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -48,6 +48,13 @@
 /** The same for requests that must not run twice: on a connection that the
  * upstream has dropped silently they end with an unknown outcome. */
 export const UPSTREAM_IDLE_ONCE_MS = 250;
+/** Time after a refusal, or a response that nobody expected, in which requests
+ * that must not run twice go over new connections: a faulty upstream may write
+ * a response once more, and only on a new connection it can't be an old one. */
+export const UPSTREAM_DOUBT_MS = 60_000;
+/** Time for the response of a request after a refusal that may be an old one;
+ * most responses take less. */
+export const UNCLEAR_REFUSAL_MS = 1_000;
 /** Share of the announced keep-alive time for which a connection is reused. */
 export const KEEP_ALIVE_SHARE = 0.6;
 /**
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -6,9 +6,13 @@
   ExchangeResult,
   UpstreamConnection,
 } from '../connection/upstreamConnection.js';
-import {ExchangeEnd} from '../connection/upstreamConnection.js';
+import {ExchangeEnd, ResponseOwner} from '../connection/upstreamConnection.js';
 import type {UpstreamPool} from '../connection/upstreamPool.js';
-import {UPSTREAM_IDLE_MS, UPSTREAM_IDLE_ONCE_MS} from '../constants.js';
+import {
+  UNCLEAR_REFUSAL_MS,
+  UPSTREAM_IDLE_MS,
+  UPSTREAM_IDLE_ONCE_MS,
+} from '../constants.js';
 import type {
   CallResult,
   HeaderList,
@@ -49,13 +53,13 @@
 /** Least time that is worth handing to an upstream, ms. */
 const LEAST_LEFT_MS = 1;
 const INTERNAL_ERROR = 500;
-/** Idle time that no kept connection has. */
-const NEW_CONNECTION = 0;
 
 /** Runs one request; its handler is called once. */
 export class UpstreamRun {
   private connection: UpstreamConnection | undefined;
   private timer: NodeJS.Timeout | undefined;
+  /** Set once a refusal was read that may be an earlier one. */
+  private doubtTimer: NodeJS.Timeout | undefined;
   private isEnded = false;
   private isSentAgain = false;
 
@@ -67,13 +71,18 @@
       () => this.expire(),
       Math.max(LEAST_LEFT_MS, deadlineMs - readMs()) + OVERTIME_MS,
     );
-    this.send(call.isIdempotent ? UPSTREAM_IDLE_MS : UPSTREAM_IDLE_ONCE_MS);
+    const {pool} = this.parts;
+    this.send(
+      call.isIdempotent
+        ? pool.take(UPSTREAM_IDLE_MS)
+        : pool.takeCertain(UPSTREAM_IDLE_ONCE_MS),
+    );
   }
 
-  private send(maxIdleMs: number): void {
-    const {call, pool, deadlineMs, readMs} = this.parts;
+  private send(connection: UpstreamConnection): void {
+    const {call, deadlineMs, readMs} = this.parts;
     const leftMs = Math.max(LEAST_LEFT_MS, Math.floor(deadlineMs - readMs()));
-    this.connection = pool.take(maxIdleMs);
+    this.connection = connection;
     const headers = [...call.headers, ...this.buildAdditions(leftMs)];
     this.connection
       .run({
@@ -81,7 +90,8 @@
         path: call.path,
         headers,
         body: call.body,
-        isOwnResponse: (status, received) => this.isOwn(status, received),
+        findOwner: (status, received, isKept) =>
+          this.findOwner(status, received, isKept),
       })
       .then((result) => this.finishExchange(result))
       .catch(() => this.endLost(GateReason.BAD_RESPONSE));
@@ -102,10 +112,35 @@
     return wire.buildUpstreamHeaders(additions);
   }
 
-  /** A response of an earlier request may arrive late on a connection. */
-  private isOwn(status: number, headers: HeaderList): boolean {
-    const {requestId} = this.parts.wire.readUpstreamHead(status, headers);
-    return requestId === undefined || requestId === this.parts.call.requestId;
+  /**
+   * A response of an earlier request may arrive late on a connection. A refusal
+   * names no request: on a kept connection it may be an earlier one, while this
+   * request runs.
+   */
+  private findOwner(
+    status: number,
+    headers: HeaderList,
+    isKept: boolean,
+  ): ResponseOwner {
+    const {call, wire} = this.parts;
+    const {requestId, isNotRun} = wire.readUpstreamHead(status, headers);
+    if (requestId !== undefined && requestId !== call.requestId) {
+      return ResponseOwner.ANOTHER_REQUEST;
+    }
+    if (!isNotRun) return ResponseOwner.THIS_REQUEST;
+    if (requestId === undefined && isKept && !call.isIdempotent) {
+      this.doubtTimer ??= setTimeout(
+        () => this.endUnclear(),
+        UNCLEAR_REFUSAL_MS,
+      );
+      return ResponseOwner.UNCLEAR;
+    }
+    return ResponseOwner.THIS_REFUSED;
+  }
+
+  private endUnclear(): void {
+    this.endLost(GateReason.BAD_RESPONSE, 'a refusal may be an earlier one');
+    this.connection?.close('a refusal may be an earlier one');
   }
 
   private expire(): void {
@@ -134,7 +169,7 @@
     if (this.isEnded) return;
     if (!isRefused && !this.isSentAgain) {
       this.isSentAgain = true;
-      this.send(NEW_CONNECTION);
+      this.send(this.parts.pool.open());
       return;
     }
     const reason = isRefused
@@ -198,6 +233,7 @@
     if (this.isEnded) return;
     this.isEnded = true;
     clearTimeout(this.timer);
+    clearTimeout(this.doubtTimer);
     this.parts.handle({
       isConnectionRefused: false,
       hasNoListener: false,
