Suspect only requests that reached the upstream

Cause: a refused connection shows that the upstream has ended, and all runs counted as in flight, also those whose own connection was the refused one. Each of them recorded a further crash with the others in it, so that requests which no upstream had seen were in three crashes within 20 ms.

Change: only a run whose request was sent is in flight at a crash; a refused connection with no such run records none. Runs that lost their connection are remembered as before.

--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -167,6 +167,11 @@
     return !this.isClosed && idleMs < Math.min(maxIdleMs, this.maxIdleMs);
   }
 
+  /** Whether the upstream may have read bytes of the running request. */
+  hasSent(): boolean {
+    return this.exchange !== undefined && this.isSent;
+  }
+
   /** Whether a refusal that arrives next can only be that of the next request. */
   isCertain(): boolean {
     return !this.hasRefused;
--- a/packages/sidecar/src/process/upstreamTask.test.ts
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -4,17 +4,23 @@
 import {CallParents} from 'sycamoreyoke/process/callParents';
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
 import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
-import {HOST, createCall, listen} from '../connection/linkHarness.test.js';
+import {SendEnd} from 'sycamoreyoke/request/resend';
+import {
+  HOST,
+  createCall,
+  listen,
+  waitFor,
+} from '../connection/linkHarness.test.js';
 import {UpstreamPool} from '../connection/upstreamPool.js';
 import type {CallResult} from '../types.js';
+import type {CrashGuard} from './upstreamTask.js';
 import {UpstreamTask} from './upstreamTask.js';
 
-// Guards against a call that is said not to have reached its upstream although
-// it runs there, and against a waiting one that starts after it was given up.
-it('upstream task: only calls in the queue wait', async () => {
-  let connections = 0;
-  const upstream = createServer(() => (connections += 1));
-  const port = await listen(upstream, 0);
+/** A task whose upstream listens at a port and has two slots. */
+function createTask(
+  port: number,
+  crashes: Partial<CrashGuard> = {},
+): UpstreamTask {
   const task = new UpstreamTask({
     service: 'booking',
     drainMs: 1_000,
@@ -42,6 +48,7 @@
       observeUnanswered: () => undefined,
       recordCrash: () => 0,
       recordPlannedEnd: () => undefined,
+      ...crashes,
     },
     hasTimeFor: () => true,
     hasTimeToStart: () => true,
@@ -58,6 +65,16 @@
     sequence: 1,
     bornMs: 1,
   });
+  return task;
+}
+
+// Guards against a call that is said not to have reached its upstream although
+// it runs there, and against a waiting one that starts after it was given up.
+it('upstream task: only calls in the queue wait', async () => {
+  let connections = 0;
+  const upstream = createServer(() => (connections += 1));
+  const port = await listen(upstream, 0);
+  const task = createTask(port);
   const results: CallResult[] = [];
   const offer = (requestId: string) =>
     task.offer({...createCall(requestId), leftMs: 200}, (result) =>
@@ -77,3 +94,33 @@
   expect(connections).to.equal(1);
   expect(results).to.have.length(1);
 });
+
+// Guards against requests that are refused because their connection was, after
+// another one had crashed the upstream.
+it('upstream task: a call that was not sent is no suspect', async () => {
+  const upstream = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      upstream.close();
+      socket.destroy();
+    });
+  });
+  const port = await listen(upstream, 0);
+  const suspects: string[][] = [];
+  const task = createTask(port, {
+    recordCrash: (running) => {
+      suspects.push(running.map(({requestId}) => requestId));
+      return running.length;
+    },
+  });
+  const ends: SendEnd[] = [];
+  const offer = (requestId: string) =>
+    task.offer(createCall(requestId), ({end}) => ends.push(end));
+  offer('first');
+  await waitFor(() => ends.length === 1);
+  offer('second');
+  await waitFor(() => ends.length === 2);
+  expect(ends).to.deep.equal([SendEnd.LOST, SendEnd.REFUSED_BY_GATE]);
+  expect(suspects.flat()).not.to.include('second');
+  task.stop();
+});
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -385,7 +385,7 @@
       this.parts.crashes.recordPlannedEnd();
       return;
     }
-    const running = [...this.calls.values()].filter(({run}) => run);
+    const running = [...this.calls.values()].filter(({run}) => run?.hasSent());
     const inFlight = this.parts.crashes.recordCrash(
       running.map(({call}) => call),
     );
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -97,6 +97,11 @@
       .catch(() => this.endLost(GateReason.BAD_RESPONSE));
   }
 
+  /** Whether the upstream may have begun to work on the request. */
+  hasSent(): boolean {
+    return this.connection?.hasSent() ?? false;
+  }
+
   /** Gives up; the upstream sees its connection close. */
   cancel(): void {
     this.end(Completion.CANCELLED, {
