Keep doubts, waits and connections bounded in large deployments

Cause, found by reading the change: when a data centre is cut off, each node of a large deployment would ask the store at once because its links are silent; the wait for the node list borrowed an unrelated constant; connections that are opened while an upstream is in doubt stayed in the pool until the upstream closed them; two loops could write the same crash row.

Change: of all nodes about 32 ask the store for a silent link, the others hear of versions over links; the list has a wait of its own (12 s on average); idle connections are closed after their idle time whenever one is taken; one loop writes crash rows.

--- a/packages/sidecar/src/connection/upstreamPool.ts
+++ b/packages/sidecar/src/connection/upstreamPool.ts
@@ -1,5 +1,9 @@
 /** Connections to the upstream that wait for their next request. */
-import {RESPONSE_BUFFER_BYTES, UPSTREAM_DOUBT_MS} from '../constants.js';
+import {
+  RESPONSE_BUFFER_BYTES,
+  UPSTREAM_DOUBT_MS,
+  UPSTREAM_IDLE_MS,
+} from '../constants.js';
 import type {Address} from '../types.js';
 import {ByteBudget} from './byteBudget.js';
 import {UpstreamConnection} from './upstreamConnection.js';
@@ -24,6 +28,8 @@
    * that is read can be believed.
    */
   takeCertain(maxIdleMs: number): UpstreamConnection {
+    // The connections that are opened in a doubt must not pile up.
+    this.closeUnusable(UPSTREAM_IDLE_MS);
     if (this.readMs() < this.doubtedUntilMs) return this.open();
     const index = this.idle.findLastIndex(
       (connection) =>
@@ -37,13 +43,9 @@
   take(maxIdleMs: number): UpstreamConnection {
     const latest = this.idle.pop();
     if (latest?.isReusable(maxIdleMs)) return latest;
+    if (latest) this.idle.push(latest);
     // The others have been idle for longer still.
-    const unusable = [...this.idle, ...(latest ? [latest] : [])];
-    this.idle = [];
-    for (const connection of unusable) {
-      if (connection.isReusable(Infinity)) this.idle.push(connection);
-      else connection.close('idle for too long');
-    }
+    this.closeUnusable(Infinity);
     return this.open();
   }
 
@@ -72,6 +74,16 @@
     });
   }
 
+  /** Closes what has been idle for longer, or is closed by the upstream. */
+  private closeUnusable(maxIdleMs: number): void {
+    const {idle} = this;
+    this.idle = idle.filter((connection) => connection.isReusable(maxIdleMs));
+    for (const connection of idle) {
+      if (!this.idle.includes(connection))
+        connection.close('idle for too long');
+    }
+  }
+
   private recordDoubt(): void {
     this.doubtedUntilMs = this.readMs() + UPSTREAM_DOUBT_MS;
   }
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -133,6 +133,9 @@
  * quick succession cost one read a node. A new node dials the others, so they
  * know it before its row arrives. */
 export const NODES_PAUSE_MS = 3_000;
+/** Mean wait for changes of the node list: nodes meet over links, and the wait
+ * for the configuration shows silent connections. */
+export const NODES_WATCH_MEAN_MS = 12_000;
 /** Nodes assumed until the list has been read, so that a node that starts while
  * the store is away takes a small part of the retry budget's slack. */
 export const UNLISTED_NODES = 64;
--- a/packages/sidecar/src/process/crashTask.ts
+++ b/packages/sidecar/src/process/crashTask.ts
@@ -73,6 +73,7 @@
   private crashes = 0;
   private crashedMs = -Infinity;
   private writeTimer: NodeJS.Timeout | undefined;
+  private isWriting = false;
   private readonly rowTimer: NodeJS.Timeout;
 
   constructor(private readonly parts: CrashTaskParts) {
@@ -190,31 +191,31 @@
       if (!this.own.has(identity) || this.written.has(identity)) continue;
       if (this.register.check(identity).isRefused) this.unwritten.add(identity);
     }
-    if (!this.writeTimer) void this.writeRows();
+    if (!this.writeTimer && !this.isWriting) void this.writeRows();
   }
 
   /** Writes until the store has all of them or they are not refused any more. */
   private async writeRows(): Promise<void> {
     const {service, store, encodeMark, record} = this.parts;
-    for (const identity of this.unwritten) {
-      if (!this.register.check(identity).isRefused) {
+    this.isWriting = true;
+    try {
+      for (const identity of this.unwritten) {
+        if (this.register.check(identity).isRefused) {
+          this.written.add(identity);
+          const row = encodeMark({service, identity});
+          await store.writeRow(buildKey(identity), row);
+        }
         this.unwritten.delete(identity);
-        continue;
-      }
-      try {
-        const row = encodeMark({service, identity});
-        this.written.add(identity);
-        await store.writeRow(buildKey(identity), row);
-        this.unwritten.delete(identity);
-      } catch (error) {
-        const {message} = error as Error;
-        record(EventCode.CRASH_ROW_DELAYED, {identity, message});
-        this.writeTimer ??= setTimeout(() => {
-          this.writeTimer = undefined;
-          void this.writeRows();
-        }, STORE_RETRY_MAX_MS);
-        return;
       }
+    } catch (error) {
+      const {message} = error as Error;
+      record(EventCode.CRASH_ROW_DELAYED, {message});
+      this.writeTimer = setTimeout(() => {
+        this.writeTimer = undefined;
+        void this.writeRows();
+      }, STORE_RETRY_MAX_MS);
+    } finally {
+      this.isWriting = false;
     }
   }
 
@@ -232,7 +233,7 @@
       } catch (error) {
         const {message} = error as Error;
         this.rows.set(key, {key, version, learnedMs});
-        this.parts.record(EventCode.CRASH_ROW_DELAYED, {key, message});
+        this.parts.record(EventCode.CRASH_ROW_DELAYED, {message});
         return;
       }
     }
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -16,7 +16,11 @@
 import {isStarted} from 'sycamoreyoke/process/startPhase';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
-import {chooseWatchMs} from 'sycamoreyoke/process/watchTime';
+import {
+  chooseWatchMs,
+  computeMeanWatchMs,
+  isDoubtful,
+} from 'sycamoreyoke/process/watchTime';
 import {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Random} from 'sycamoreyoke/random';
 import {createRandom} from 'sycamoreyoke/random';
@@ -30,6 +34,7 @@
   FRAME_BUFFER_BYTES,
   GATE_QUEUE_LIMIT,
   NODES_PAUSE_MS,
+  NODES_WATCH_MEAN_MS,
   UNLISTED_NODES,
 } from './constants.js';
 import {
@@ -252,8 +257,9 @@
     handleConfiguration: (content) =>
       configuration.adopt(content, ConfigurationSource.PEER),
     handleSilence: () => {
-      for (const follower of followers) follower.reset();
       peers.probeAll();
+      if (!isDoubtful(random, fleet.list().length)) return;
+      for (const follower of followers) follower.reset();
     },
     handleNode: (node) => fleet.handleNode(node),
     handleReplaced: (node) => fleet.removeNode(node),
@@ -294,7 +300,8 @@
     handleAll: (rows) => configuration.handleRows(rows),
     handleChanges: (rows) => configuration.handleRows(rows),
     pauseMs: 0,
-    chooseWaitMs: () => chooseWatchMs(random, fleet.list().length),
+    chooseWaitMs: () =>
+      chooseWatchMs(random, computeMeanWatchMs(fleet.list().length)),
     handleSilence: () => peers.probeAll(),
   });
   const nodeFollower: StoreFollower = new StoreFollower({
@@ -314,8 +321,7 @@
       fleet.handleChanges(rows.filter((row) => !isCrashRow(row)));
     },
     pauseMs: NODES_PAUSE_MS,
-    // Nodes are told of silence by the other follower.
-    chooseWaitMs: () => chooseWatchMs(random, UNLISTED_NODES),
+    chooseWaitMs: () => chooseWatchMs(random, NODES_WATCH_MEAN_MS),
     handleSilence: () => peers.probeAll(),
   });
   const followers = [configurationFollower, nodeFollower];
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -270,7 +270,6 @@
   ),
   [EventCode.CRASH_ROW_DELAYED]: describe(
     'The row of a request that crashes upstreams could not be written or removed.',
-    'identity or key',
     'message',
   ),
   [EventCode.UPSTREAM_UNREACHABLE]: describe(
