Prolong no refusal by listing its row again

Callers would see: a request that was wrongly refused as crashing stayed refused for longer than 5 min, and again after an upstream had answered it, whenever the store's table was listed again (five times after each lost history).

Cause: each listing of a row marked its request anew and set the time back after which the row is removed. Found by reading the change.

Change: a row of a known version is passed over.

Measured: the new test of the crash task fails without the change (300,000 ms left in place of 1 ms) and passes with it.

--- a/packages/sidecar/src/process/crashTask.ts
+++ b/packages/sidecar/src/process/crashTask.ts
@@ -153,6 +153,8 @@
   /** Takes rows of the store in, after a list or a change. */
   handleRows(rows: readonly StoredRow[]): void {
     for (const {key, value, version} of rows) {
+      // A list names rows again that are known.
+      if (this.rows.get(key)?.version === version) continue;
       const mark = value && this.parts.decodeMark(value);
       const isOwn = mark?.service === this.parts.service;
       if (!isOwn || key !== buildKey(mark.identity)) {
