--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -20,14 +20,7 @@
 import {RefusalReason} from 'sycamoreyoke/types';
 import {createFailure} from '../connection/peerLink.js';
 import type {UpstreamPool} from '../connection/upstreamPool.js';
-import {
-  DEFAULT_SLOTS,
-  DRAIN_START_SHARE,
-  GATE_TICK_MS,
-  PROBE_INTERVAL_MS,
-  UPSTREAM_DOWN_MS,
-} from '../constants.js';
-import type {RunEnd} from '../request/upstreamRun.js';
+import {DEFAULT_SLOTS, DRAIN_START_SHARE, GATE_TICK_MS} from '../constants.js';
 import {UpstreamRun} from '../request/upstreamRun.js';
 import type {
   CallResult,
@@ -41,18 +34,12 @@
 import type {GateRefusal} from './gateRefusal.js';
 import {NODE_STOPPING_REFUSAL, createRefusal} from './gateRefusal.js';
 import {SlotLimiter} from './slotLimiter.js';
+import type {CrashObserver} from './upstreamHealth.js';
+import {UpstreamHealth} from './upstreamHealth.js';
 import {recordPresence, recordRefusal, recordRun} from './upstreamLog.js';
 
 /** The methods of the crash task that this task uses. */
-export type CrashGuard = Pick<
-  CrashTask,
-  | 'check'
-  | 'observeAnswer'
-  | 'observeRefusal'
-  | 'observeUnanswered'
-  | 'recordCrash'
-  | 'recordPlannedEnd'
->;
+export type CrashGuard = CrashObserver & Pick<CrashTask, 'check'>;
 
 /** Dependencies of the task. */
 export interface UpstreamTaskParts {
@@ -101,10 +88,9 @@
 export class UpstreamTask {
   private readonly limiter = new SlotLimiter(DEFAULT_SLOTS);
   private readonly gate: AdaptiveGate;
+  private readonly health: UpstreamHealth;
   private readonly calls = new Map<string, GateCall>();
   private nextTicket = 1;
-  private downUntilMs = 0;
-  private lastProbeMs = -Infinity;
   private meanServiceMs = 0;
   private timer: NodeJS.Timeout | undefined;
 
@@ -115,13 +101,25 @@
       parameters: parts.parameters,
       report: parts.report,
     });
+    this.health = new UpstreamHealth({
+      get drainMs() {
+        return parts.drainMs;
+      },
+      clock: parts.clock,
+      presence: parts.presence,
+      pool: parts.pool,
+      crashes: parts.crashes,
+      record: parts.record,
+      listRunning: () => this.listRunning(),
+      handleChange: parts.handleChange,
+    });
   }
 
   /** Describes the load, by which other nodes choose where to send calls. */
   describeLoad(): UpstreamLoad {
     const upstream = this.parts.presence.read();
     return {
-      isAvailable: upstream !== undefined && !this.isDown(),
+      isAvailable: upstream !== undefined && !this.health.isDown(),
       isDraining: upstream?.drainingSinceMs !== undefined,
       limit: this.gate.readLimit(),
       running: this.gate.countRunning(),
@@ -149,9 +147,14 @@
     return this.calls.size;
   }
 
+  /** Counts the calls that were offered to the gate since the start. */
+  countOffered(): number {
+    return this.nextTicket - 1;
+  }
+
   /** Handles a heartbeat; returns how it changed the upstream's presence. */
   observeHeartbeat(heartbeat: UpstreamHeartbeat): PresenceChange {
-    const isPlanned = this.isPastDrain();
+    const isPlanned = this.health.isPastDrain();
     const change = this.parts.presence.observe(heartbeat);
     const {instance, slots, sequence} = heartbeat;
     if (change === PresenceChange.OUTDATED) {
@@ -159,7 +162,7 @@
       return change;
     }
     if (change === PresenceChange.STARTED) {
-      this.recordEnd(isPlanned);
+      this.health.recordEnd(isPlanned);
       this.parts.pool.close();
     }
     this.limiter.update(slots);
@@ -226,7 +229,7 @@
     const {isRefused, retryAfterMs} = this.parts.crashes.check(call);
     if (isRefused) return createRefusal(GateReason.CRASHING, retryAfterMs);
     const upstream = this.parts.presence.read();
-    if (!upstream || this.isDown()) {
+    if (!upstream || this.health.isDown()) {
       return createRefusal(GateReason.UPSTREAM_DOWN);
     }
     return this.hasTimeBeforeDrainEnd(upstream.drainingSinceMs)
@@ -240,10 +243,6 @@
     return drainedMs < this.parts.drainMs * DRAIN_START_SHARE;
   }
 
-  private isDown(): boolean {
-    return this.parts.clock.readMs() < this.downUntilMs;
-  }
-
   private applyActions(actions: readonly GateAction[]): void {
     for (const action of actions) {
       const gateCall = this.calls.get(action.ticket);
@@ -293,7 +292,6 @@
       pool: this.parts.pool,
       handle: (end) => {
         const {completion, result} = end;
-        const {isConnectionRefused, isOtherInstance} = end;
         const elapsedMs = this.parts.clock.readMs() - startedMs;
         recordRun(
           this.parts.record,
@@ -303,10 +301,9 @@
           elapsedMs,
           this.describeLoad(),
         );
-        this.observeRunEnd(gateCall.call, startedMs, end);
         if (completion === Completion.SUCCEEDED) this.updateMean(elapsedMs);
-        if (isConnectionRefused) this.markDown(end.hasNoListener);
-        if (isOtherInstance) this.clearInstance(upstream.instance);
+        const {call} = gateCall;
+        this.health.observeRunEnd(call, upstream.instance, startedMs, end);
         this.finish(gateCall, completion, result);
       },
     });
@@ -346,77 +343,18 @@
     this.applyActions(this.gate.cancel(ticket));
   }
 
+  /** Lists the calls whose requests the upstream may have received. */
+  private listRunning(): readonly OutgoingCall[] {
+    return [...this.calls.values()]
+      .filter(({run}) => run?.hasSent())
+      .map(({call}) => call);
+  }
+
   private updateMean(elapsedMs: number): void {
     const meanMs = this.meanServiceMs || elapsedMs;
     this.meanServiceMs = meanMs + SERVICE_WEIGHT * (elapsedMs - meanMs);
   }
 
-  /** Updates the crash records and the upstream's state after a run. */
-  private observeRunEnd(
-    call: OutgoingCall,
-    startedMs: number,
-    {result: {end, reason}}: RunEnd,
-  ): void {
-    const {crashes} = this.parts;
-    if (end === SendEnd.RESPONSE) crashes.observeAnswer(call, startedMs);
-    if (end === SendEnd.REFUSED_BY_UPSTREAM) crashes.observeRefusal(startedMs);
-    if (end !== SendEnd.LOST) return;
-    crashes.observeUnanswered(call, startedMs);
-    if (reason === GateReason.CONNECTION_LOST) this.probe();
-  }
-
-  /** Checks for a crash, of which a lost connection may be the first sign. */
-  private probe(): void {
-    const nowMs = this.parts.clock.readMs();
-    if (this.isDown() || nowMs < this.lastProbeMs + PROBE_INTERVAL_MS) return;
-    this.lastProbeMs = nowMs;
-    this.parts.pool.probe(() => this.markDown(true));
-  }
-
-  /** Whether the drain time is over, so that the upstream's end is planned. */
-  private isPastDrain(): boolean {
-    const nowMs = this.parts.clock.readMs();
-    const {drainingSinceMs = nowMs} = this.parts.presence.read() ?? {};
-    return nowMs - drainingSinceMs >= this.parts.drainMs;
-  }
-
-  private recordEnd(isPlanned: boolean): void {
-    if (isPlanned) {
-      this.parts.crashes.recordPlannedEnd();
-      return;
-    }
-    const running = [...this.calls.values()].filter(({run}) => run?.hasSent());
-    const inFlight = this.parts.crashes.recordCrash(
-      running.map(({call}) => call),
-    );
-    if (inFlight === 0) return;
-    const instance = this.parts.presence.read()?.instance ?? '';
-    this.parts.record(EventCode.UPSTREAM_CRASHED, {instance, inFlight});
-  }
-
-  private markDown(hasNoListener: boolean): void {
-    const wasDown = this.isDown();
-    if (hasNoListener) {
-      this.parts.presence.recordEnd();
-      this.recordEnd(this.isPastDrain());
-    }
-    this.downUntilMs = this.parts.clock.readMs() + UPSTREAM_DOWN_MS;
-    if (wasDown) return;
-    this.parts.pool.close();
-    this.parts.record(EventCode.UPSTREAM_UNREACHABLE, {
-      instance: this.parts.presence.read()?.instance ?? '',
-      running: this.gate.countRunning(),
-    });
-    this.parts.handleChange();
-    setTimeout(() => this.parts.handleChange(), UPSTREAM_DOWN_MS + 1);
-  }
-
-  private clearInstance(instance: string): void {
-    this.parts.presence.clearInstance(instance);
-    this.parts.record(EventCode.UPSTREAM_REPLACED, {instance});
-    this.parts.handleChange();
-  }
-
   private recordRefusal(call: OutgoingCall, reason: GateReason): void {
     recordRefusal(this.parts.record, call, reason, this.describeLoad());
   }
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -72,10 +72,18 @@
     OriginCall | undefined
   >();
 
+  private handled = 0;
+
   constructor(private readonly parts: OriginHandlerParts) {}
 
+  /** Counts the requests since the start. */
+  countHandled(): number {
+    return this.handled;
+  }
+
   handle(exchange: ClientExchange): void {
     const {request, arrivedMs} = exchange;
+    this.handled += 1;
     this.openRequests.set(exchange, undefined);
     exchange.handleClose(() => this.openRequests.delete(exchange));
     if (!hasBody(request.rawHeaders)) {
