--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -1,11 +1,13 @@
 /** The accepting side of a link between nodes, which runs the peer's calls. */
 import type {Socket} from 'node:net';
+import type {Clock} from 'sycamoreyoke/clock';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   ACCEPTED_SILENCE_MS,
   CLOSING_REFUSAL_MS,
   CLOSING_SILENCE_MS,
+  LATE_READ_MS,
 } from '../constants.js';
 import type {
   CallResult,
@@ -17,6 +19,7 @@
 } from '../types.js';
 import {GateReason} from '../types.js';
 import type {ConfigurationPeer} from '../process/configurationTask.js';
+import {runAfterNextRead} from '../process/eventLoop.js';
 import type {ByteBudget} from './byteBudget.js';
 import type {Frame} from './peerFrames.js';
 import {FrameReader} from './frameReader.js';
@@ -28,9 +31,11 @@
   sendFrame,
 } from './peerFrames.js';
 import {createClosingRefusal, createFailure} from './peerLink.js';
+import {TransitDelay} from './transitDelay.js';
 
 /** Dependencies of an accepted link. */
 export interface AcceptedLinkParts {
+  readonly clock: Clock;
   readonly describeSelf: () => {node: NodeRecord; report: NodeReport};
   readonly offer: (call: OutgoingCall, handle: ResultHandler) => PendingCall;
   readonly handleHello: (node: NodeRecord) => void;
@@ -51,6 +56,8 @@
 /** Sends a frame over a link. */
 export type FrameSender = (frame: Frame) => void;
 
+type CallFrame = Extract<Frame, {kind: FrameKind.CALL}>;
+
 enum LinkPhase {
   OPEN = 'open',
   /** Running calls finish; new ones are refused. */
@@ -66,6 +73,7 @@
   /** Whether the peer belongs to the same service. */
   private isSameService = false;
   private readonly runningCalls = new Map<number, PendingCall>();
+  private readonly transitDelay = new TransitDelay();
 
   constructor(
     private readonly socket: Socket,
@@ -200,7 +208,7 @@
         this.parts.handlePeerVersion(frame.report.configurationVersion, this);
         return;
       case FrameKind.CALL:
-        this.start(frame.id, frame.call);
+        this.receiveCall(frame);
         return;
       case FrameKind.CANCEL:
         this.cancel(frame.id);
@@ -224,9 +232,34 @@
     }
   }
 
+  /** Counts the time that a call has waited on its way as used. */
+  private receiveCall({id, call, sentMs}: CallFrame): void {
+    const nowMs = this.parts.clock.readMs();
+    const lateMs =
+      sentMs === undefined ? 0 : this.transitDelay.observe(sentMs, nowMs);
+    if (lateMs <= LATE_READ_MS) {
+      this.start(id, call);
+      return;
+    }
+    const leftMs = call.leftMs - lateMs;
+    const usefulMs = call.usefulMs - lateMs;
+    let isCancelled = false;
+    this.runningCalls.set(id, {
+      cancel: () => {
+        isCancelled = true;
+      },
+      isWaiting: () => true,
+    });
+    runAfterNextRead(() => {
+      if (!isCancelled) this.start(id, {...call, leftMs, usefulMs});
+    });
+  }
+
   private start(id: number, call: OutgoingCall): void {
     if (this.phase !== LinkPhase.OPEN) {
+      this.runningCalls.delete(id);
       this.sendResult(id, createClosingRefusal());
+      this.finishClose();
       return;
     }
     let isSettled = false;
--- a/packages/sidecar/src/connection/clientConnection.ts
+++ b/packages/sidecar/src/connection/clientConnection.ts
@@ -4,8 +4,10 @@
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
+import {runAfterNextRead} from '../process/eventLoop.js';
 import {
   CLIENT_LINGER_MS,
+  LATE_READ_MS,
   MAX_PIPELINED_REQUESTS,
   MAX_WAITING_BYTES,
 } from '../constants.js';
@@ -16,6 +18,8 @@
   readonly record: EventRecorder;
   readonly metrics: Metrics;
   readonly readMs: () => number;
+  /** Returns the earliest time at which bytes read now can have arrived. */
+  readonly findEarliestArrivalMs: () => number;
   readonly isStopping: () => boolean;
 }
 
@@ -63,7 +67,8 @@
       request.resume();
       return;
     }
-    const arrivedMs = this.parts.readMs();
+    // What the process was behind counts as time that the request has waited.
+    const arrivedMs = this.parts.findEarliestArrivalMs();
     const exchange = new ClientExchange(request, arrivedMs, response, () =>
       this.flush(),
     );
@@ -73,7 +78,8 @@
     // Pipelined responses emit no 'close' if the connection is lost; see
     // handleClose.
     response.once('close', () => this.finish(exchange));
-    this.startQueued();
+    if (this.parts.readMs() - arrivedMs <= LATE_READ_MS) this.startQueued();
+    else runAfterNextRead(() => this.startQueued());
   }
 
   countOpen(): number {
@@ -136,6 +142,7 @@
 
   /** Starts queued requests within the limits of a connection. */
   private startQueued(): void {
+    if (this.socket.readableEnded || this.socket.destroyed) return;
     while (this.queued.length > 0 && this.hasCapacity()) {
       const next = this.queued.shift() as ClientExchange;
       this.activeExchanges.push(next);
--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -16,6 +16,8 @@
   readonly client: Socket;
   readonly read: () => string;
   isStopping: boolean;
+  /** How late the listener reads, ms. */
+  lateMs: number;
 }
 
 async function openHarness(): Promise<Harness> {
@@ -25,6 +27,7 @@
     record: () => undefined,
     metrics: new Metrics(),
     readMs: () => performance.now(),
+    findEarliestArrivalMs: () => performance.now() - harness.lateMs,
     isStopping: () => harness.isStopping,
   };
   const listener = new ClientListener(parts, (exchange) => {
@@ -43,6 +46,7 @@
     client,
     read: () => received,
     isStopping: false,
+    lateMs: 0,
   };
   return harness;
 }
@@ -242,3 +246,28 @@
   await waitUntil(() => harness.exchanges.length === 20);
   closeHarness(harness);
 });
+
+// Guards against a request that is sent on although its client has left before
+// a process that is behind has read it.
+it('late request of a client that has left is not started', async () => {
+  const harness = await openHarness();
+  harness.lateMs = 500;
+  const closing = new Promise((resolve) => harness.client.on('close', resolve));
+  harness.client.end(REQUEST);
+  await closing;
+  await waitUntil(() => harness.listener.countConnections() === 0);
+  expect(harness.exchanges).to.have.lengthOf(0);
+  closeHarness(harness);
+});
+
+// Guards against late requests that are never started, and against a deadline
+// that does not count the time for which the process was behind.
+it('late request of a waiting client counts its delay', async () => {
+  const harness = await openHarness();
+  harness.lateMs = 500;
+  harness.client.write(REQUEST);
+  await waitUntil(() => harness.exchanges.length === 1);
+  const arrivedMs = harness.exchanges[0]?.arrivedMs ?? Infinity;
+  expect(performance.now() - arrivedMs).to.be.at.least(500);
+  closeHarness(harness);
+});
--- a/packages/sidecar/src/connection/frameReader.test.ts
+++ b/packages/sidecar/src/connection/frameReader.test.ts
@@ -18,7 +18,7 @@
 const NODE = createNode('a', {host: HOST, port: 1});
 const FRAMES: readonly Frame[] = [
   {kind: FrameKind.HELLO, node: NODE, report: REPORT, revision: FRAME_REVISION},
-  {kind: FrameKind.CALL, id: 1, call: createCall('r-1', 3)},
+  {kind: FrameKind.CALL, id: 1, call: createCall('r-1', 3), sentMs: 7},
   {kind: FrameKind.CANCEL, id: 1},
   {
     kind: FrameKind.RESULT,
@@ -151,12 +151,15 @@
 // at once.
 it('frames: times are capped at the longest timer delay', () => {
   const call = {...createCall('r-1'), leftMs: 1e15, usefulMs: 1e15};
-  const read = readAll(encodeFrame({kind: FrameKind.CALL, id: 1, call}));
+  const read = readAll(
+    encodeFrame({kind: FrameKind.CALL, id: 1, call, sentMs: 7}),
+  );
   expect(read).to.deep.equal([
     {
       kind: FrameKind.CALL,
       id: 1,
       call: {...call, leftMs: MAX_DELAY_MS, usefulMs: MAX_DELAY_MS},
+      sentMs: 7,
     },
   ]);
 });
--- a/packages/sidecar/src/connection/linkClose.test.ts
+++ b/packages/sidecar/src/connection/linkClose.test.ts
@@ -264,7 +264,9 @@
     await waitFor(() => frames.length === 1);
     const closing = node.server.close(CLOSE_MS);
     const call = createCall('crossing');
-    socket.write(encodeFrame({kind: FrameKind.CALL, id: 7, call}));
+    socket.write(
+      encodeFrame({kind: FrameKind.CALL, sentMs: undefined, id: 7, call}),
+    );
     await closing;
     await waitFor(() => socket.destroyed);
     expect(frames.map(({kind}) => kind)).to.deep.equal([
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -115,6 +115,7 @@
   const received: ReceivedCall[] = [];
   const faults: string[] = [];
   const server = new PeerServer({
+    clock: systemClock,
     describeSelf: () => ({node: createNode(node, address), report: REPORT}),
     offer: (call, settle) => {
       const entry: ReceivedCall = {
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -67,6 +67,8 @@
       readonly kind: FrameKind.CALL;
       readonly id: number;
       readonly call: OutgoingCall;
+      /** When it was sent, on the sender's clock, ms; not from old versions. */
+      readonly sentMs: number | undefined;
     }
   | {readonly kind: FrameKind.CANCEL; readonly id: number}
   | {
@@ -168,7 +170,7 @@
         frame.revision,
       ];
     case FrameKind.CALL:
-      return [kind, frame.id, buildCall(frame.call)];
+      return [kind, frame.id, buildCall(frame.call), frame.sentMs];
     case FrameKind.CANCEL:
       return [kind, frame.id];
     case FrameKind.RESULT:
@@ -212,7 +214,12 @@
         revision: readCount(third ?? 0),
       };
     case FrameKind.CALL:
-      return {kind, id: readCount(first), call: readCall(second)};
+      return {
+        kind,
+        id: readCount(first),
+        call: readCall(second),
+        sentMs: third === undefined ? undefined : readAmount(third),
+      };
     case FrameKind.CANCEL:
       return {kind, id: readCount(first)};
     case FrameKind.RESULT:
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -115,7 +115,8 @@
     const id = this.nextId++;
     this.pendingCalls.set(id, handle);
     this.sentSinceReport += 1;
-    sendFrame(socket, {kind: FrameKind.CALL, id, call});
+    const sentMs = this.clock.readMs();
+    sendFrame(socket, {kind: FrameKind.CALL, id, call, sentMs});
     return {
       cancel: () => {
         if (!this.pendingCalls.delete(id)) return;
--- a/packages/sidecar/src/connection/upstreamConnection.test.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.test.ts
@@ -15,7 +15,7 @@
 const REQUEST = {
   method: 'POST',
   path: '/book/1',
-  headers: [],
+  buildHeaders: () => [],
   body: Buffer.from('b'),
   findOwner: () => ResponseOwner.THIS_REQUEST,
 };
@@ -108,6 +108,32 @@
   close();
 });
 
+// Guards against a request that reaches the upstream after its deadline, since
+// the connection was opened only then.
+it('upstream run: nothing is sent after the deadline', async () => {
+  const {pool, sockets, close} = await openUpstream();
+  const received: Buffer[] = [];
+  let nowMs = 0;
+  const ending = new Promise<RunEnd>((handle) =>
+    new UpstreamRun({
+      call: CALL,
+      instance: 'i-1',
+      deadlineMs: 1_000,
+      readMs: () => nowMs,
+      wire: WIRE,
+      pool,
+      handle,
+    }).start(),
+  );
+  nowMs = 1_500;
+  const {result} = await ending;
+  sockets[0]?.on('data', (bytes) => received.push(bytes));
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(result.end).to.equal(SendEnd.REFUSED_BY_GATE);
+  expect(received).to.deep.equal([]);
+  close();
+});
+
 // Guards against resending a request that may have run.
 it('upstream connection: a reset after the write is a loss', async () => {
   const {pool, sockets, close} = await openUpstream();
--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -20,7 +20,11 @@
 export interface UpstreamRequest {
   readonly method: string;
   readonly path: string;
-  readonly headers: HeaderList;
+  /**
+   * Returns the headers as of now, when the request is written, or undefined if
+   * it is no longer wanted.
+   */
+  readonly buildHeaders: () => HeaderList | undefined;
   readonly body: Uint8Array;
   /** Decides to which request a response belongs; others are discarded. */
   readonly findOwner: (
@@ -202,8 +206,14 @@
   private send(): void {
     if (!this.exchange) return;
     const {request} = this.exchange;
+    const headers = request.buildHeaders();
+    if (!headers) {
+      this.settle(createUnsent('request is no longer wanted'));
+      this.offerIdle();
+      return;
+    }
     this.socket.cork();
-    this.socket.write(renderHead(request), 'latin1');
+    this.socket.write(renderHead(request, headers), 'latin1');
     if (request.body.length > 0) this.socket.write(request.body);
     this.socket.uncork();
     // The first write is attempted synchronously; if it fails, nothing was
@@ -345,7 +355,10 @@
   } as const;
 }
 
-function renderHead({method, path, headers, body}: UpstreamRequest): string {
+function renderHead(
+  {method, path, body}: UpstreamRequest,
+  headers: HeaderList,
+): string {
   let head = `${method} ${path} HTTP/1.1\r\n`;
   for (let index = 0; index < headers.length; index += 2) {
     head += `${headers[index]}: ${headers[index + 1]}\r\n`;
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -151,6 +151,12 @@
 /** Shortest interval between pings of all links. */
 export const MIN_PROBE_ALL_INTERVAL_MS = 1_000;
 
+/**
+ * A request that may have waited longer than this to be read is started only
+ * after the next read, which shows whether it was cancelled meanwhile.
+ */
+export const LATE_READ_MS = 20;
+
 /** Requests of one client connection that are processed concurrently. */
 export const MAX_PIPELINED_REQUESTS = 64;
 /** Limit of the answers of one connection that wait for an earlier answer. */
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -94,7 +94,8 @@
     const leftMs = this.request.deadlineMs - this.parts.clock.readMs();
     this.timer = setTimeout(() => this.expire(), leftMs + ANSWER_MARGIN_MS);
     this.parts.readRetryBudget(this.request.service).recordFirstAttempt();
-    this.send();
+    if (leftMs > 0) this.send();
+    else this.expire();
   }
 
   /** Cancels the request because its client has gone. */
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -66,10 +66,10 @@
   constructor(private readonly parts: UpstreamRunParts) {}
 
   start(): void {
-    const {call, deadlineMs, readMs} = this.parts;
+    const {call} = this.parts;
     this.timer = setTimeout(
       () => this.expire(),
-      Math.max(MIN_TIMEOUT_MS, deadlineMs - readMs()) + DEADLINE_MARGIN_MS,
+      Math.max(MIN_TIMEOUT_MS, this.readLeftMs()) + DEADLINE_MARGIN_MS,
     );
     const {pool} = this.parts;
     this.send(
@@ -80,15 +80,13 @@
   }
 
   private send(connection: UpstreamConnection): void {
-    const {call, deadlineMs, readMs} = this.parts;
-    const leftMs = Math.max(MIN_TIMEOUT_MS, Math.floor(deadlineMs - readMs()));
+    const {call} = this.parts;
     this.connection = connection;
-    const headers = [...call.headers, ...this.buildAdditions(leftMs)];
     this.connection
       .run({
         method: call.method,
         path: call.path,
-        headers,
+        buildHeaders: () => this.buildHeaders(),
         body: call.body,
         findOwner: (status, received, isReused) =>
           this.findOwner(status, received, isReused),
@@ -110,11 +108,22 @@
     this.connection?.close('request was cancelled');
   }
 
-  private buildAdditions(leftMs: number): HeaderList {
+  /** Connecting may have taken until the deadline. */
+  private buildHeaders(): HeaderList | undefined {
     const {call, instance, wire} = this.parts;
+    if (this.isEnded || this.isPastDeadline()) return undefined;
     const {requestId, callerService} = call;
+    const leftMs = Math.max(MIN_TIMEOUT_MS, Math.floor(this.readLeftMs()));
     const additions = {requestId, leftMs, instance, callerService};
-    return wire.buildUpstreamHeaders(additions);
+    return [...call.headers, ...wire.buildUpstreamHeaders(additions)];
+  }
+
+  private readLeftMs(): number {
+    return this.parts.deadlineMs - this.parts.readMs();
+  }
+
+  private isPastDeadline(): boolean {
+    return this.readLeftMs() <= 0;
   }
 
   /**
@@ -149,8 +158,9 @@
   }
 
   private expire(): void {
+    const end = this.hasSent() ? SendEnd.LOST : SendEnd.REFUSED_BY_GATE;
     this.end(Completion.TIMED_OUT, {
-      result: createFailure(SendEnd.LOST, GateReason.DEADLINE),
+      result: createFailure(end, GateReason.DEADLINE),
     });
     this.connection?.close('deadline has passed');
   }
@@ -175,6 +185,13 @@
     message,
   }: UnsentExchange): void {
     if (this.isEnded) return;
+    if (this.isPastDeadline()) {
+      this.end(Completion.CANCELLED, {
+        result: createFailure(SendEnd.REFUSED_BY_GATE, GateReason.DEADLINE),
+        message,
+      });
+      return;
+    }
     if (!isRefused && !this.isResent) {
       this.isResent = true;
       this.send(this.parts.pool.open());
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -5,6 +5,7 @@
 import {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import {ROW_CHECK_INTERVAL_MS, ROW_REMOVAL_MS} from './constants.js';
 import {openListener} from './process/httpListeners.js';
+import {LOOP_TICK_MS} from './process/loopWatch.js';
 import type {SidecarParts} from './wiring.js';
 
 /** Interval at which a starting node checks whether it can take calls. */
@@ -16,6 +17,7 @@
 export class Sidecar {
   private readonly servers: Server[] = [];
   private rowRemovalTimer: NodeJS.Timeout | undefined;
+  private loopTimer: NodeJS.Timeout | undefined;
   private stopPromise: Promise<void> | undefined;
 
   constructor(private readonly parts: SidecarParts) {}
@@ -49,6 +51,7 @@
       const lost = parts.peers.listUnreachable(ROW_REMOVAL_MS);
       if (lost.size > 0) void parts.fleet.removeUnreachable(lost);
     }, ROW_CHECK_INTERVAL_MS);
+    this.loopTimer = setInterval(() => parts.loop.tick(), LOOP_TICK_MS);
     this.watchStart();
     record(EventCode.NODE_STARTED, {
       service: settings.service,
@@ -108,6 +111,7 @@
     // Let the closed sockets log their events first.
     await wait(0);
     clearInterval(this.rowRemovalTimer);
+    clearInterval(this.loopTimer);
     parts.fleet.stop();
     for (const follower of parts.followers) follower.stop();
     for (const server of this.servers) {
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -1,35 +1,32 @@
 /** Builds a sidecar from its settings and connects its parts. */
-import 'reflect-metadata';
-import {randomInt, randomUUID} from 'node:crypto';
-import {systemClock} from '@sycamoreyoke/node/process/systemClock';
-import {Container} from 'inversify';
+import {randomUUID} from 'node:crypto';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {InvariantReporter} from 'sycamoreyoke/invariants';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {QUIET_DECAY_MS} from 'sycamoreyoke/process/downstreamThrottle';
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
-import {Metrics} from 'sycamoreyoke/process/metrics';
+import type {Metrics} from 'sycamoreyoke/process/metrics';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
 import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {createRetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {isStarted} from 'sycamoreyoke/process/startPhase';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
-import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
+import type {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
 import {
   chooseWatchMs,
   computeMeanWatchMs,
   isChosenToQuery,
 } from 'sycamoreyoke/process/watchTime';
-import {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
+import type {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Random} from 'sycamoreyoke/random';
-import {createRandom} from 'sycamoreyoke/random';
 import {CallParents} from 'sycamoreyoke/process/callParents';
 import {ByteBudget} from './connection/byteBudget.js';
 import {ClientListener} from './connection/clientListener.js';
 import type {FrameReader} from './connection/frameReader.js';
 import {PeerServer} from './connection/peerServer.js';
-import {UpstreamPool} from './connection/upstreamPool.js';
+import type {UpstreamPool} from './connection/upstreamPool.js';
+import {TOKENS, createContainer} from './container.js';
 import {
   FRAME_BUFFER_BYTES,
   GATE_QUEUE_LIMIT,
@@ -43,8 +40,10 @@
 } from './process/configurationTask.js';
 import type {CrashMark} from './process/crashTask.js';
 import {CrashTask, isCrashRow} from './process/crashTask.js';
-import {DecisionLog, createOutputWriter} from './process/decisionLog.js';
+import type {DecisionLog} from './process/decisionLog.js';
+import {readLoopIdleMs, runAfterTurn} from './process/eventLoop.js';
 import {FleetTask} from './process/fleetTask.js';
+import {LoopWatch} from './process/loopWatch.js';
 import {PeerTask} from './process/peerTask.js';
 import {StoreFollower} from './process/storeFollower.js';
 import {UpstreamTask} from './process/upstreamTask.js';
@@ -91,6 +90,7 @@
   readonly configuration: ConfigurationTask;
   readonly followers: readonly StoreFollower[];
   readonly lifecycle: SidecarLifecycle;
+  readonly loop: LoopWatch;
   /** Whether the start is complete; checked anew on each call until it is. */
   readonly checkStarted: () => boolean;
 }
@@ -103,50 +103,6 @@
   handleConfiguration: () => void;
 }
 
-const TOKENS = {
-  clock: Symbol('clock'),
-  random: Symbol('random'),
-  metrics: Symbol('metrics'),
-  log: Symbol('log'),
-  presence: Symbol('presence'),
-  pool: Symbol('pool'),
-  rotation: Symbol('rotation'),
-} as const;
-
-const LARGEST_SEED = 2 ** 31;
-
-/** Binds the objects that depend only on the settings. */
-function createContainer(settings: SidecarSettings): Container {
-  const container = new Container({defaultScope: 'Singleton'});
-  container.bind<Clock>(TOKENS.clock).toConstantValue(systemClock);
-  container
-    .bind<Random>(TOKENS.random)
-    .toConstantValue(createRandom(randomInt(LARGEST_SEED)));
-  container.bind(TOKENS.metrics).toConstantValue(new Metrics());
-  container.bind(TOKENS.rotation).toConstantValue(new WeightedRotation());
-  const getClock = () => container.get<Clock>(TOKENS.clock);
-  container
-    .bind(TOKENS.log)
-    .toDynamicValue(
-      () => new DecisionLog(settings.node, getClock(), createOutputWriter()),
-    );
-  container
-    .bind(TOKENS.presence)
-    .toDynamicValue(() => new UpstreamPresence(getClock()));
-  container.bind(TOKENS.pool).toDynamicValue(
-    () =>
-      new UpstreamPool(
-        settings.upstream,
-        () => getClock().readMs(),
-        (message) => {
-          const {record} = container.get<DecisionLog>(TOKENS.log);
-          record(EventCode.MESSAGE_MALFORMED, {source: 'upstream', message});
-        },
-      ),
-  );
-  return container;
-}
-
 /** Builds the tasks and connects their callbacks. */
 export function buildSidecar(adapter: SidecarAdapter): SidecarParts {
   const {wire, store} = adapter;
@@ -277,6 +233,7 @@
     handleChange: (nodes) => peers.update(nodes),
   });
   const peerServer: PeerServer = new PeerServer({
+    clock,
     describeSelf: () => ({node: self, report: describeReport()}),
     offer: (call, handle) => upstream.offer(call, handle),
     handleHello: (node) => fleet.handleNode(node),
@@ -362,11 +319,17 @@
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
     readStopSchedule: () => lifecycle.stop,
   });
+  const loop = new LoopWatch({
+    clock,
+    readIdleMs: readLoopIdleMs,
+    runAfterTurn,
+  });
   const clients = new ClientListener(
     {
       record,
       metrics,
       readMs: () => clock.readMs(),
+      findEarliestArrivalMs: () => loop.findEarliestArrivalMs(),
       isStopping: () => lifecycle.stop !== undefined,
     },
     (exchange) => origin.handle(exchange),
@@ -397,5 +360,6 @@
     followers,
     lifecycle,
     checkStarted,
+    loop,
   };
 }
