--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -2,7 +2,6 @@
 import type {Socket} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
-import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   ACCEPTED_SILENCE_MS,
   CLOSING_REFUSAL_MS,
@@ -17,7 +16,6 @@
   PendingCall,
   ResultHandler,
 } from '../types.js';
-import {GateReason} from '../types.js';
 import type {ConfigurationPeer} from '../process/configurationTask.js';
 import {runAfterNextRead} from '../process/eventLoop.js';
 import type {ByteBudget} from './byteBudget.js';
@@ -30,12 +28,16 @@
   TOLERANT_REVISION,
   sendFrame,
 } from './peerFrames.js';
-import {createClosingRefusal, createFailure} from './peerLink.js';
+import {createClosingRefusal, createLoss} from './callFailure.js';
+import type {LinkSession, SessionLink} from './linkSession.js';
+import type {LinkSessions} from './linkSessions.js';
 import {TransitDelay} from './transitDelay.js';
 
 /** Dependencies of an accepted link. */
 export interface AcceptedLinkParts {
   readonly clock: Clock;
+  /** Returns the earliest time at which bytes read now can have arrived. */
+  readonly findEarliestArrivalMs: () => number;
   readonly describeSelf: () => {node: NodeRecord; report: NodeReport};
   readonly offer: (call: OutgoingCall, handle: ResultHandler) => PendingCall;
   readonly handleHello: (node: NodeRecord) => void;
@@ -56,6 +58,7 @@
 /** Sends a frame over a link. */
 export type FrameSender = (frame: Frame) => void;
 
+type HelloFrame = Extract<Frame, {kind: FrameKind.HELLO}>;
 type CallFrame = Extract<Frame, {kind: FrameKind.CALL}>;
 
 enum LinkPhase {
@@ -67,19 +70,24 @@
 }
 
 /** Runs the calls that arrive on an accepted socket. */
-export class AcceptedLink {
+export class AcceptedLink implements SessionLink {
   private phase = LinkPhase.OPEN;
   private peerRevision = 0;
   /** Whether the peer belongs to the same service. */
   private isSameService = false;
-  private readonly runningCalls = new Map<number, PendingCall>();
+  private session: LinkSession;
+  private sessionName: string | undefined;
+  /** Whether the session has had no other link before this one. */
+  private isNewSession = true;
   private readonly transitDelay = new TransitDelay();
 
   constructor(
     private readonly socket: Socket,
     private readonly parts: AcceptedLinkParts,
+    private readonly sessions: LinkSessions,
     handleClose: () => void,
   ) {
+    this.session = sessions.openAnonymous(this);
     socket.setTimeout(ACCEPTED_SILENCE_MS, () => socket.destroy());
     const reader = new FrameReader({
       handle: (frame) => this.receive(frame),
@@ -107,7 +115,7 @@
     socket.on('close', () => {
       reader.close();
       handleClose();
-      for (const call of this.runningCalls.values()) call.cancel();
+      this.closeSession();
     });
   }
 
@@ -136,26 +144,26 @@
     if (this.phase !== LinkPhase.OPEN) return;
     this.phase = LinkPhase.CLOSING;
     this.sendReport();
-    this.finishClose();
+    this.handleCallEnd();
   }
 
   /** Cancels the calls that wait at the gate and reports them as not run. */
   refuseWaiting(): void {
-    for (const [id, call] of [...this.runningCalls]) {
+    for (const [id, call] of this.session.listRunning()) {
       if (!call.isWaiting?.()) continue;
-      this.runningCalls.delete(id);
+      this.session.remove(id);
       call.cancel();
-      this.sendResult(id, createClosingRefusal());
+      this.session.settle(id, createClosingRefusal());
     }
-    this.finishClose();
+    this.handleCallEnd();
   }
 
   /** Cancels the running calls, reports them as lost, and ends the link. */
   cancelRunning(): void {
-    for (const [id, call] of [...this.runningCalls]) {
+    for (const [id, call] of this.session.listRunning()) {
       call.cancel();
-      if (!this.runningCalls.delete(id)) continue;
-      this.sendResult(id, createFailure(SendEnd.LOST, GateReason.LINK_LOST));
+      if (!this.session.remove(id)) continue;
+      this.sendResult(id, createLoss());
     }
     this.end();
   }
@@ -190,6 +198,7 @@
     switch (frame.kind) {
       case FrameKind.HELLO:
         this.peerRevision = frame.revision;
+        this.openSession(frame);
         this.isSameService =
           frame.node.service === this.parts.describeSelf().node.service;
         // Must precede the HELLO, after which the peer may count as started.
@@ -204,6 +213,7 @@
         this.parts.handlePeerVersion(frame.report.configurationVersion, this);
         return;
       case FrameKind.PING:
+        this.measureDelay(frame.sentMs);
         this.sendReport();
         this.parts.handlePeerVersion(frame.report.configurationVersion, this);
         return;
@@ -211,7 +221,12 @@
         this.receiveCall(frame);
         return;
       case FrameKind.CANCEL:
-        this.cancel(frame.id);
+        this.session.cancel(frame.id);
+        return;
+      case FrameKind.RESUME:
+        if (this.isNewSession) this.session.refuseResume(frame.pendingIds);
+        else this.session.resume(frame.pendingIds);
+        send({kind: FrameKind.RESUMED});
         return;
       case FrameKind.GET_CONFIGURATION: {
         const content = this.parts.readConfiguration();
@@ -232,11 +247,26 @@
     }
   }
 
+  private openSession({node, session}: HelloFrame): void {
+    if (session === undefined || this.sessionName !== undefined) return;
+    this.sessionName = `${node.incarnation} ${session}`;
+    const opened = this.sessions.open(this.sessionName, this);
+    this.session = opened.session;
+    this.isNewSession = opened.isNew;
+  }
+
+  /** The calls of a named session wait for its next link. */
+  private closeSession(): void {
+    const {session, sessionName} = this;
+    if (session.link !== this) return;
+    if (sessionName === undefined) session.cancelAll();
+    else this.sessions.release(sessionName, session);
+  }
+
   /** Counts the time that a call has waited on its way as used. */
-  private receiveCall({id, call, sentMs}: CallFrame): void {
-    const nowMs = this.parts.clock.readMs();
-    const lateMs =
-      sentMs === undefined ? 0 : this.transitDelay.observe(sentMs, nowMs);
+  private receiveCall({id, call, sentMs, acknowledgedIds}: CallFrame): void {
+    this.session.removeAcknowledged(acknowledgedIds ?? []);
+    const lateMs = this.measureDelay(sentMs);
     if (lateMs <= LATE_READ_MS) {
       this.start(id, call);
       return;
@@ -244,7 +274,7 @@
     const leftMs = call.leftMs - lateMs;
     const usefulMs = call.usefulMs - lateMs;
     let isCancelled = false;
-    this.runningCalls.set(id, {
+    this.session.add(id, {
       cancel: () => {
         isCancelled = true;
       },
@@ -255,37 +285,38 @@
     });
   }
 
+  /** Returns how much longer than usual a frame has taken, ms. */
+  private measureDelay(sentMs: number | undefined): number {
+    const {clock, findEarliestArrivalMs} = this.parts;
+    const nowMs = clock.readMs();
+    const behindMs = nowMs - findEarliestArrivalMs();
+    if (sentMs === undefined) return behindMs;
+    return Math.max(behindMs, this.transitDelay.observe(sentMs, nowMs));
+  }
+
   private start(id: number, call: OutgoingCall): void {
+    const {session} = this;
     if (this.phase !== LinkPhase.OPEN) {
-      this.runningCalls.delete(id);
-      this.sendResult(id, createClosingRefusal());
-      this.finishClose();
+      session.settle(id, createClosingRefusal());
       return;
     }
     let isSettled = false;
     const pending = this.parts.offer(call, (result) => {
       isSettled = true;
-      this.runningCalls.delete(id);
-      this.sendResult(id, result);
-      this.finishClose();
+      session.settle(id, result);
     });
-    if (!isSettled) this.runningCalls.set(id, pending);
-  }
-
-  private cancel(id: number): void {
-    this.runningCalls.get(id)?.cancel();
-    this.runningCalls.delete(id);
-    this.finishClose();
+    if (!isSettled) session.add(id, pending);
   }
 
-  private finishClose(): void {
-    if (this.phase !== LinkPhase.CLOSING || this.runningCalls.size > 0) return;
+  handleCallEnd(): void {
+    if (this.phase !== LinkPhase.CLOSING) return;
+    if (this.session.countRunning() > 0) return;
     if (this.peerRevision >= GOODBYE_REVISION) this.end();
     // Without GOODBYE, calls already on their way must be read and refused.
     else setTimeout(() => this.end(), CLOSING_REFUSAL_MS);
   }
 
-  private sendResult(id: number, result: CallResult): void {
+  sendResult(id: number, result: CallResult): void {
     const report = this.describeReport();
     this.send({kind: FrameKind.RESULT, id, result, report});
   }
--- a/packages/sidecar/src/connection/clientConnection.ts
+++ b/packages/sidecar/src/connection/clientConnection.ts
@@ -45,6 +45,9 @@
   /** Later requests, which are not handled yet. */
   private readonly queued: ClientExchange[] = [];
   private accepted = 0;
+  private readonly acceptedMs: number;
+  /** Earliest time at which the client can have connected, clock ms. */
+  private readonly connectedMs: number;
   /** Whether further requests on this connection are ignored. */
   private isEnding = false;
   private failureStatus: string | undefined;
@@ -59,6 +62,8 @@
     // client has sent more, that resets the connection and loses the response.
     socket.destroySoon = () => this.end();
     socket.once('close', () => this.handleClose());
+    this.connectedMs = parts.findEarliestArrivalMs();
+    this.acceptedMs = parts.readMs();
   }
 
   /** Accepts a request, unless the connection is ending. */
@@ -68,7 +73,7 @@
       return;
     }
     // What the process was behind counts as time that the request has waited.
-    const arrivedMs = this.parts.findEarliestArrivalMs();
+    const arrivedMs = this.findArrivalMs();
     const exchange = new ClientExchange(request, arrivedMs, response, () =>
       this.flush(),
     );
@@ -82,6 +87,13 @@
     else runAfterNextRead(() => this.startQueued());
   }
 
+  /** The first request may have waited with its connection to be accepted. */
+  private findArrivalMs(): number {
+    const readMs = this.parts.findEarliestArrivalMs();
+    const mayBeOlder = this.accepted === 0 && readMs <= this.acceptedMs;
+    return mayBeOlder ? this.connectedMs : readMs;
+  }
+
   countOpen(): number {
     return this.activeExchanges.length + this.queued.length;
   }
--- a/packages/sidecar/src/connection/frameReader.test.ts
+++ b/packages/sidecar/src/connection/frameReader.test.ts
@@ -34,6 +34,22 @@
     kind: FrameKind.SUSPECTS,
     suspects: [{crashId: 'c', inFlight: 1, identity: 'x'}],
   },
+  {
+    kind: FrameKind.HELLO,
+    node: NODE,
+    report: REPORT,
+    revision: FRAME_REVISION,
+    session: 's',
+  },
+  {
+    kind: FrameKind.CALL,
+    id: 2,
+    call: createCall('r-2', 3),
+    sentMs: 7,
+    acknowledgedIds: [1],
+  },
+  {kind: FrameKind.RESUME, pendingIds: [1, 2]},
+  {kind: FrameKind.RESUMED},
 ];
 /** Values that replace each field, one after another. */
 const REPLACEMENT_VALUES: readonly unknown[] = [
--- a/packages/sidecar/src/connection/lateCalls.test.ts
+++ b/packages/sidecar/src/connection/lateCalls.test.ts
@@ -25,7 +25,8 @@
       report: REPORT,
       revision: FRAME_REVISION,
     },
-    // A prompt call, by which the node compares the clocks.
+    // By which the node compares the clocks.
+    {kind: FrameKind.PING, report: REPORT, sentMs: performance.now()},
     createCallFrame(1, 'prompt', 0),
   ];
   for (const frame of frames) socket.write(encodeFrame(frame));
--- /dev/null
+++ b/packages/sidecar/src/connection/linkResume.test.ts
@@ -0,0 +1,296 @@
+import type {Server, Socket} from 'node:net';
+import {connect} from 'node:net';
+import {expect} from 'chai';
+import {VirtualClock} from 'sycamoreyoke/clock';
+import {SendEnd} from 'sycamoreyoke/request/resend';
+import {
+  PING_MS,
+  RETAINED_RESULT_BYTES,
+  RETAINED_RESULT_MS,
+} from '../constants.js';
+import type {Address, CallResult, PendingCall} from '../types.js';
+import type {TestLink, TestNode} from './linkHarness.test.js';
+import {
+  HOST,
+  REPORT,
+  createCall,
+  createNode,
+  createResponse,
+  openLink,
+  openNode,
+  openRawServer,
+  sendCall,
+  waitFor,
+} from './linkHarness.test.js';
+import {LinkSession} from './linkSession.js';
+import {
+  FRAME_REVISION,
+  FrameKind,
+  GOODBYE_REVISION,
+  encodeFrame,
+} from './peerFrames.js';
+import {ResultRetention} from './resultRetention.js';
+
+/** A proxy whose open connections a test resets or silences. */
+interface CuttableProxy {
+  readonly address: Address;
+  readonly server: Server;
+  /** Resets all connections. */
+  cut(): void;
+  /** Forwards nothing more on the open connections, in either direction. */
+  silence(): void;
+}
+
+async function openProxy(target: Address): Promise<CuttableProxy> {
+  const pairs: Array<readonly [Socket, Socket]> = [];
+  const {address, server} = await openRawServer((clientSocket) => {
+    const targetSocket = connect(target);
+    clientSocket.pipe(targetSocket);
+    targetSocket.pipe(clientSocket);
+    clientSocket.on('error', () => targetSocket.destroy());
+    targetSocket.on('error', () => clientSocket.destroy());
+    pairs.push([clientSocket, targetSocket]);
+  });
+  return {
+    address,
+    server,
+    cut: () => {
+      for (const socket of pairs.splice(0).flat()) socket.resetAndDestroy();
+    },
+    silence: () => {
+      for (const [clientSocket, targetSocket] of pairs.splice(0)) {
+        for (const socket of [clientSocket, targetSocket]) {
+          socket.unpipe();
+          socket.removeAllListeners('end');
+          socket.resume();
+        }
+      }
+    },
+  };
+}
+
+interface Trial {
+  readonly node: TestNode;
+  readonly proxy: CuttableProxy;
+  readonly link: TestLink;
+  readonly close: () => Promise<void>;
+}
+
+async function openTrial(): Promise<Trial> {
+  const node = await openNode('peer');
+  const proxy = await openProxy(node.address);
+  const link = await openLink(proxy.address);
+  const close = async () => {
+    link.stop();
+    proxy.server.close();
+    proxy.cut();
+    await node.server.close(0);
+  };
+  return {node, proxy, link, close};
+}
+
+// Guards against a result that is lost with its connection: the origin answers
+// "unknown" for a booking that has run and ended well.
+it('resume: a call that runs while its link is reset gets its result', async () => {
+  const {node, proxy, link, close} = await openTrial();
+  const sending = sendCall(link, createCall('r-1'));
+  await waitFor(() => node.received.length === 1);
+  for (let loss = 0; loss < 2; loss += 1) {
+    proxy.cut();
+    await waitFor(() => link.losses.length > loss && link.link.isOpen());
+  }
+  node.received[0]?.settle(createResponse('r-1', 9));
+  const result = await sending;
+  expect(result).to.deep.equal(createResponse('r-1', 9));
+  expect(node.received).to.have.lengthOf(1);
+  expect(node.received[0]?.isCancelled).to.equal(false);
+  await close();
+});
+
+// Guards against a result that was sent on a silent connection and forgotten.
+it('resume: a result on a silent link is sent again', async () => {
+  const {node, proxy, link, close} = await openTrial();
+  const sending = sendCall(link, createCall('r-1'));
+  await waitFor(() => node.received.length === 1);
+  proxy.silence();
+  node.received[0]?.settle(createResponse('r-1', 9));
+  expect(await sending).to.deep.equal(createResponse('r-1', 9));
+  expect(node.received).to.have.lengthOf(1);
+  await close();
+});
+
+// Guards against calling a call unknown that its gate has never received.
+it('resume: a call that has not arrived is refused as not run', async () => {
+  const {node, proxy, link, close} = await openTrial();
+  proxy.silence();
+  const result = await sendCall(link, createCall('r-1'));
+  expect(result.end).to.equal(SendEnd.REFUSED_BY_GATE);
+  expect(node.received).to.deep.equal([]);
+  await close();
+});
+
+// Guards against calls that run on although their client has left while the
+// link was lost.
+it('resume: a call that was cancelled meanwhile is cancelled', async () => {
+  const {node, proxy, link, close} = await openTrial();
+  const kept = sendCall(link, createCall('kept'));
+  const cancelled = link.link.send(createCall('left'), () => undefined);
+  await waitFor(() => node.received.length === 2);
+  proxy.cut();
+  await waitFor(() => link.losses.length === 1);
+  cancelled.cancel();
+  await waitFor(() => node.received[1]?.isCancelled === true);
+  expect(node.received[0]?.isCancelled).to.equal(false);
+  node.received[0]?.settle(createResponse('kept'));
+  expect((await kept).end).to.equal(SendEnd.RESPONSE);
+  await close();
+});
+
+// Guards against calls that wait for a process that has been restarted, and
+// against taking its answers for those of the former process.
+it('resume: calls of a restarted node are lost', async () => {
+  const sockets: Socket[] = [];
+  let starts = 0;
+  const resumes: number[] = [];
+  const {address, server} = await openRawServer((socket) => {
+    sockets.push(socket);
+    starts += 1;
+    socket.on('error', () => socket.destroy());
+    socket.on('data', () => resumes.push(starts));
+    socket.write(
+      encodeFrame({
+        kind: FrameKind.HELLO,
+        node: {
+          ...createNode('peer', {host: HOST, port: 1}),
+          incarnation: `start-${starts}`,
+        },
+        report: REPORT,
+        revision: 2,
+      }),
+    );
+  });
+  const link = await openLink(address);
+  const sending = sendCall(link, createCall('r-1'));
+  await waitFor(() => resumes.length > 0);
+  sockets[0]?.resetAndDestroy();
+  expect((await sending).end).to.equal(SendEnd.LOST);
+  expect(starts).to.equal(2);
+  link.stop();
+  for (const socket of sockets) socket.destroy();
+  server.close();
+});
+
+// Guards against waiting for a node of a version that cannot be asked.
+it('resume: calls to an earlier version are lost at once', async () => {
+  const sockets: Socket[] = [];
+  const {address, server} = await openRawServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => socket.destroy());
+    socket.write(
+      encodeFrame({
+        kind: FrameKind.HELLO,
+        node: createNode('peer', {host: HOST, port: 1}),
+        report: REPORT,
+        revision: GOODBYE_REVISION,
+      }),
+    );
+  });
+  const link = await openLink(address);
+  const sending = sendCall(link, createCall('r-1'));
+  sockets[0]?.resetAndDestroy();
+  expect((await sending).end).to.equal(SendEnd.LOST);
+  expect(sockets).to.have.lengthOf(1);
+  link.stop();
+  for (const socket of sockets) socket.destroy();
+  server.close();
+});
+
+// Guards against calls of an origin that is gone for good, which run on.
+it('resume: calls of an origin that does not return are cancelled', async () => {
+  const {node, link, close} = await openTrial();
+  void sendCall(link, createCall('r-1'));
+  await waitFor(() => node.received.length === 1);
+  link.stop();
+  await waitFor(() => node.received[0]?.isCancelled === true);
+  await close();
+});
+
+// Guards against calls that wait for a process that has ended.
+it('resume: calls are lost at once if nothing listens any more', async () => {
+  const sockets: Socket[] = [];
+  const {address, server} = await openRawServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => socket.destroy());
+    socket.write(
+      encodeFrame({
+        kind: FrameKind.HELLO,
+        node: createNode('peer', {host: HOST, port: 1}),
+        report: REPORT,
+        revision: FRAME_REVISION,
+      }),
+    );
+  });
+  const link = await openLink(address);
+  const sending = sendCall(link, createCall('r-1'));
+  server.close();
+  const startedMs = performance.now();
+  sockets[0]?.end();
+  expect((await sending).end).to.equal(SendEnd.LOST);
+  expect(performance.now() - startedMs).to.be.lessThan(PING_MS);
+  link.stop();
+  for (const socket of sockets) socket.destroy();
+});
+
+interface SessionTrial {
+  readonly clock: VirtualClock;
+  readonly session: LinkSession;
+  readonly sent: Array<readonly [number, CallResult]>;
+}
+
+function createSession(): SessionTrial {
+  const clock = new VirtualClock();
+  const session = new LinkSession(new ResultRetention(clock));
+  const sent: Array<readonly [number, CallResult]> = [];
+  session.link = {
+    sendResult: (id, result) => void sent.push([id, result]),
+    handleCallEnd: () => undefined,
+    disconnect: () => undefined,
+  };
+  return {clock, session, sent};
+}
+
+const RUNNING: PendingCall = {cancel: () => undefined};
+
+// Guards against calling a call "not run" whose result the gate has dropped.
+it('session: a forgotten result is unknown, not "not run"', () => {
+  const {clock, session, sent} = createSession();
+  session.settle(1, createResponse('old'));
+  clock.advance(RETAINED_RESULT_MS + 1);
+  session.settle(2, createResponse('acknowledged'));
+  session.removeAcknowledged([2]);
+  session.settle(3, createResponse('kept'));
+  session.add(4, RUNNING);
+  sent.length = 0;
+  session.resume([1, 2, 3, 4, 5]);
+  const ends = sent.map(([id, {end}]) => [id, end]);
+  expect(ends).to.deep.equal([
+    [1, SendEnd.LOST],
+    [2, SendEnd.LOST],
+    [3, SendEnd.RESPONSE],
+    [5, SendEnd.REFUSED_BY_GATE],
+  ]);
+});
+
+// Guards against results of origins that never ask and fill the memory.
+it('session: kept results are bounded by their size', () => {
+  const {session, sent} = createSession();
+  const bytes = RETAINED_RESULT_BYTES / 8;
+  const ids = Array.from({length: 40}, (_, index) => index + 1);
+  for (const id of ids) session.settle(id, createResponse(`r-${id}`, bytes));
+  session.settle(41, createResponse('large', RETAINED_RESULT_BYTES));
+  sent.length = 0;
+  session.resume([...ids, 41]);
+  const kept = sent.filter(([, {end}]) => end === SendEnd.RESPONSE);
+  expect(kept.length).to.be.within(1, 8);
+  expect(kept.at(-1)?.[0]).to.equal(40);
+});
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -43,18 +43,25 @@
   GOODBYE = 11,
   /** Requests that were in flight when upstreams of the service crashed. */
   SUSPECTS = 12,
+  /** Asks what became of the calls that a lost connection has left pending. */
+  RESUME = 13,
+  /** Answers RESUME, behind the results of calls that have ended. */
+  RESUMED = 14,
 }
 
 /**
  * Revision of the frames that a node understands, sent in its HELLO. Nodes that
  * send none (0) treat an unknown kind as a fault and end the link.
  */
-export const FRAME_REVISION = 1;
+export const FRAME_REVISION = 2;
 /** First revision with GOODBYE. */
 export const GOODBYE_REVISION = 1;
 /** First revision that ignores unknown kinds of frames. */
 export const TOLERANT_REVISION = 1;
 
+/** First revision with RESUME, session names and acknowledgements. */
+export const RESUME_REVISION = 2;
+
 /** A message between two nodes. */
 export type Frame =
   | {
@@ -62,6 +69,8 @@
       readonly node: NodeRecord;
       readonly report: NodeReport;
       readonly revision: number;
+      /** Names the origin's calls on this link and its later connections. */
+      readonly session?: string | undefined;
     }
   | {
       readonly kind: FrameKind.CALL;
@@ -69,6 +78,8 @@
       readonly call: OutgoingCall;
       /** When it was sent, on the sender's clock, ms; not from old versions. */
       readonly sentMs: number | undefined;
+      /** Calls whose results have arrived since the last call. */
+      readonly acknowledgedIds?: readonly number[];
     }
   | {readonly kind: FrameKind.CANCEL; readonly id: number}
   | {
@@ -77,13 +88,20 @@
       readonly result: CallResult;
       readonly report: NodeReport;
     }
-  | {readonly kind: FrameKind.PING; readonly report: NodeReport}
+  | {
+      readonly kind: FrameKind.PING;
+      readonly report: NodeReport;
+      /** When it was sent, on the sender's clock, ms; not from old versions. */
+      readonly sentMs?: number;
+    }
   | {readonly kind: FrameKind.REPORT; readonly report: NodeReport}
   | {readonly kind: FrameKind.GET_CONFIGURATION}
   | {readonly kind: FrameKind.CONFIGURATION; readonly content: Uint8Array}
   | {readonly kind: FrameKind.GET_NODES}
   | {readonly kind: FrameKind.NODES; readonly nodes: readonly NodeRecord[]}
   | {readonly kind: FrameKind.GOODBYE}
+  | {readonly kind: FrameKind.RESUMED}
+  | {readonly kind: FrameKind.RESUME; readonly pendingIds: readonly number[]}
   | {
       readonly kind: FrameKind.SUSPECTS;
       readonly suspects: readonly CrashSuspect[];
@@ -168,9 +186,18 @@
         buildNode(frame.node),
         buildReport(frame.report),
         frame.revision,
+        ...(frame.session === undefined ? [] : [frame.session]),
       ];
     case FrameKind.CALL:
-      return [kind, frame.id, buildCall(frame.call), frame.sentMs];
+      return [
+        kind,
+        frame.id,
+        buildCall(frame.call),
+        ...(frame.sentMs === undefined ? [] : [frame.sentMs]),
+        ...(frame.acknowledgedIds?.length ? [frame.acknowledgedIds] : []),
+      ];
+    case FrameKind.RESUME:
+      return [kind, frame.pendingIds];
     case FrameKind.CANCEL:
       return [kind, frame.id];
     case FrameKind.RESULT:
@@ -181,6 +208,11 @@
         buildReport(frame.report),
       ];
     case FrameKind.PING:
+      return [
+        kind,
+        buildReport(frame.report),
+        ...(frame.sentMs === undefined ? [] : [frame.sentMs]),
+      ];
     case FrameKind.REPORT:
       return [kind, buildReport(frame.report)];
     case FrameKind.CONFIGURATION:
@@ -192,6 +224,7 @@
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
     case FrameKind.GOODBYE:
+    case FrameKind.RESUMED:
       return [kind];
   }
 }
@@ -204,7 +237,10 @@
 export function decodeFrame(content: Buffer): Frame | undefined {
   const fields: unknown = packr.unpack(content);
   if (!Array.isArray(fields)) throw new FrameError('frame is not a list');
-  const [kind, first, second, third] = fields as [FrameKind, ...unknown[]];
+  const [kind, first, second, third, fourth] = fields as [
+    FrameKind,
+    ...unknown[],
+  ];
   switch (kind) {
     case FrameKind.HELLO:
       return {
@@ -212,6 +248,7 @@
         node: readNode(first),
         report: readReport(second),
         revision: readCount(third ?? 0),
+        ...(fourth === undefined ? {} : {session: readName(fourth)}),
       };
     case FrameKind.CALL:
       return {
@@ -219,7 +256,10 @@
         id: readCount(first),
         call: readCall(second),
         sentMs: third === undefined ? undefined : readAmount(third),
+        ...(fourth === undefined ? {} : {acknowledgedIds: readIds(fourth)}),
       };
+    case FrameKind.RESUME:
+      return {kind, pendingIds: readIds(first)};
     case FrameKind.CANCEL:
       return {kind, id: readCount(first)};
     case FrameKind.RESULT:
@@ -230,6 +270,11 @@
         report: readReport(third),
       };
     case FrameKind.PING:
+      return {
+        kind,
+        report: readReport(first),
+        ...(second === undefined ? {} : {sentMs: readAmount(second)}),
+      };
     case FrameKind.REPORT:
       return {kind, report: readReport(first)};
     case FrameKind.CONFIGURATION:
@@ -241,12 +286,17 @@
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
     case FrameKind.GOODBYE:
+    case FrameKind.RESUMED:
       return {kind};
     default:
       return undefined;
   }
 }
 
+function readIds(value: unknown): readonly number[] {
+  return readList(value).map(readCount);
+}
+
 function buildNode(node: NodeRecord): NodeFields {
   const {host, port} = node.address;
   const {incarnation, service, dataCentre} = node;
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -1,4 +1,5 @@
 /** The dialling side of a link between nodes, with pings and reconnects. */
+import {randomUUID} from 'node:crypto';
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
@@ -9,14 +10,12 @@
   CLOSING_SILENCE_MS,
   CONNECT_TIMEOUT_MS,
   IDLE_PING_MS,
-  NO_MEMBER_RETRY_MS,
   PING_MS,
   PING_TIMEOUT_MS,
   REDIAL_MAX_MS,
   REDIAL_MIN_MS,
 } from '../constants.js';
 import type {
-  CallResult,
   NodeRecord,
   NodeReport,
   OutgoingCall,
@@ -24,12 +23,19 @@
   ResultHandler,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import {
+  createClosingRefusal,
+  createFailure,
+  createLoss,
+} from './callFailure.js';
 import type {ByteBudget} from './byteBudget.js';
+import {PendingCalls} from './pendingCalls.js';
 import type {Frame} from './peerFrames.js';
 import {FrameReader} from './frameReader.js';
 import {
   FRAME_REVISION,
   FrameKind,
+  RESUME_REVISION,
   TOLERANT_REVISION,
   sendFrame,
 } from './peerFrames.js';
@@ -49,26 +55,6 @@
   handleClosing(link: PeerLink, calls: number): void;
 }
 
-const EMPTY_BODY = new Uint8Array(0);
-
-/** Creates a result without a response; times in ms. */
-export function createFailure(
-  end: SendEnd,
-  reason: GateReason,
-  retryAfterMs = 0,
-): CallResult {
-  return {end, reason, retryAfterMs, status: 0, headers: [], body: EMPTY_BODY};
-}
-
-/** Creates the result of a call that was not run because its link closes. */
-export function createClosingRefusal(): CallResult {
-  return createFailure(
-    SendEnd.REFUSED_BY_GATE,
-    GateReason.LINK_CLOSING,
-    NO_MEMBER_RETRY_MS,
-  );
-}
-
 /** Keeps a socket to a node open, and matches results to pending calls. */
 export class PeerLink {
   /** The node's latest report; undefined until it has answered. */
@@ -88,7 +74,13 @@
   private redialDelayMs = REDIAL_MIN_MS;
   private nextId = 1;
   private timer: NodeJS.Timeout | undefined;
-  private readonly pendingCalls = new Map<number, ResultHandler>();
+  private readonly pendingCalls = new PendingCalls();
+  /** Names the calls of this link at the gate, on all its connections. */
+  private readonly session = randomUUID();
+  /** Incarnation of the process that the calls were sent to. */
+  private incarnation: string | undefined;
+  /** Calls whose results the gate may forget. */
+  private unacknowledgedIds: number[] = [];
 
   constructor(
     readonly node: NodeRecord,
@@ -113,14 +105,20 @@
       return {cancel: () => undefined};
     }
     const id = this.nextId++;
-    this.pendingCalls.set(id, handle);
+    this.pendingCalls.add(id, call.isIdempotent, handle);
     this.sentSinceReport += 1;
-    const sentMs = this.clock.readMs();
-    sendFrame(socket, {kind: FrameKind.CALL, id, call, sentMs});
+    sendFrame(socket, {
+      kind: FrameKind.CALL,
+      id,
+      call,
+      sentMs: this.clock.readMs(),
+      acknowledgedIds: this.unacknowledgedIds,
+    });
+    this.unacknowledgedIds = [];
     return {
       cancel: () => {
-        if (!this.pendingCalls.delete(id)) return;
-        sendFrame(socket, {kind: FrameKind.CANCEL, id});
+        if (!this.pendingCalls.remove(id)) return;
+        this.write({kind: FrameKind.CANCEL, id});
         this.stopIfDone();
       },
     };
@@ -138,7 +136,8 @@
     if (!this.socket || !this.isUp || this.pingSentMs !== undefined) return;
     this.pingSentMs = this.clock.readMs();
     const {report} = this.events.describeSelf();
-    sendFrame(this.socket, {kind: FrameKind.PING, report});
+    const sentMs = this.pingSentMs;
+    sendFrame(this.socket, {kind: FrameKind.PING, report, sentMs});
   }
 
   /** Sends crash suspects, if the node understands them. */
@@ -163,10 +162,11 @@
     this.isStopped = true;
     clearTimeout(this.timer);
     this.disconnect('link is no longer needed');
+    this.pendingCalls.settleAll(createLoss());
   }
 
   private stopIfDone(): void {
-    if (this.isRetired && this.pendingCalls.size === 0) this.stop();
+    if (this.isRetired && this.pendingCalls.count() === 0) this.stop();
   }
 
   private dial(): void {
@@ -190,6 +190,7 @@
         kind: FrameKind.HELLO,
         ...this.events.describeSelf(),
         revision: FRAME_REVISION,
+        session: this.session,
       });
     });
     socket.on('data', (chunk) => {
@@ -207,7 +208,12 @@
       socket.destroy();
       this.handleEnd(socket, 'node ended the link');
     });
-    socket.on('error', (error) => this.handleEnd(socket, error.message));
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.handleEnd(socket, error.message);
+      // The process that had the calls is gone.
+      const hasNoListener = error.code === 'ECONNREFUSED';
+      if (hasNoListener) this.pendingCalls.settleAll(createLoss());
+    });
     socket.on('close', () => {
       reader.close();
       this.handleEnd(socket, 'connection closed');
@@ -234,7 +240,7 @@
       }
       return;
     }
-    const intervalMs = this.pendingCalls.size > 0 ? PING_MS : IDLE_PING_MS;
+    const intervalMs = this.pendingCalls.count() > 0 ? PING_MS : IDLE_PING_MS;
     if (nowMs - this.lastReceivedMs >= intervalMs) this.probe();
   }
 
@@ -249,21 +255,24 @@
         this.isUp = true;
         this.peerRevision = frame.revision;
         this.redialDelayMs = REDIAL_MIN_MS;
+        this.resume(frame.node);
         this.updateReport(frame.report);
         this.events.handleHello(this, frame.node);
         this.events.handleUp(this);
         return;
       case FrameKind.RESULT: {
         this.updateReport(frame.report);
-        const handle = this.pendingCalls.get(frame.id);
-        this.pendingCalls.delete(frame.id);
-        handle?.(frame.result);
+        this.unacknowledgedIds.push(frame.id);
+        this.pendingCalls.settle(frame.id, frame.result);
         this.stopIfDone();
         return;
       }
       case FrameKind.REPORT:
         this.updateReport(frame.report);
         return;
+      case FrameKind.RESUMED:
+        this.pendingCalls.stopWaiting();
+        return;
       case FrameKind.GOODBYE:
         this.handleGoodbye(socket);
         return;
@@ -272,6 +281,19 @@
     }
   }
 
+  /** Asks the same process what became of the calls of a lost connection. */
+  private resume({incarnation}: NodeRecord): void {
+    const isSameProcess = incarnation === this.incarnation;
+    this.incarnation = incarnation;
+    if (this.pendingCalls.count() === 0) return;
+    if (!isSameProcess || this.peerRevision < RESUME_REVISION) {
+      this.pendingCalls.settleAll(createLoss());
+      return;
+    }
+    const pendingIds = this.pendingCalls.listIds();
+    this.write({kind: FrameKind.RESUME, pendingIds});
+  }
+
   private updateReport(report: NodeReport): void {
     this.report = report;
     this.sentSinceReport = 0;
@@ -284,42 +306,45 @@
     if (socket) this.handleEnd(socket, message);
   }
 
-  /** Handles the loss of the link; pending calls may or may not have run. */
+  /**
+   * Handles the loss of the link. Pending calls may or may not have run; they
+   * wait until the process that had them can be asked.
+   */
   private handleEnd(socket: Socket, message: string): void {
     if (this.socket !== socket) return;
     const wasUp = this.isUp;
-    const handlers = this.release();
-    if (wasUp) this.events.handleDown(this, message);
-    for (const handle of handlers) {
-      handle(createFailure(SendEnd.LOST, GateReason.LINK_LOST));
-    }
+    const canResume =
+      this.peerRevision >= RESUME_REVISION &&
+      !this.isRetired &&
+      !this.isStopped;
+    const isUrgent = wasUp && canResume && this.pendingCalls.count() > 0;
+    this.release(isUrgent ? 0 : this.redialDelayMs);
+    if (!wasUp) return;
+    this.events.handleDown(this, message);
+    if (canResume) this.pendingCalls.startWaiting(() => this.stopIfDone());
+    else this.pendingCalls.settleAll(createLoss());
   }
 
   /** Handles GOODBYE: pending calls have not run and will not run. */
   private handleGoodbye(socket: Socket): void {
     socket.setTimeout(CLOSING_SILENCE_MS, () => socket.destroy());
     socket.end();
-    const handlers = this.release();
-    this.events.handleClosing(this, handlers.length);
-    for (const handle of handlers) {
-      handle(createClosingRefusal());
-    }
+    this.release(this.redialDelayMs);
+    this.events.handleClosing(this, this.pendingCalls.count());
+    this.pendingCalls.settleAll(createClosingRefusal());
   }
 
-  /** Detaches the socket and returns the handlers of the pending calls. */
-  private release(): readonly ResultHandler[] {
+  /** Detaches the socket and schedules the next connection. */
+  private release(redialDelayMs: number): void {
     const nowMs = this.clock.readMs();
     this.socket = undefined;
     if (this.isUp) this.lostMs = nowMs;
     this.isUp = false;
     this.avoidedUntilMs = nowMs + AVOID_MS;
     this.pingSentMs = undefined;
-    const handlers = [...this.pendingCalls.values()];
-    this.pendingCalls.clear();
     if (!this.isRetired && !this.isStopped) {
-      this.timer = setTimeout(() => this.dial(), this.redialDelayMs);
+      this.timer = setTimeout(() => this.dial(), redialDelayMs);
     }
     this.redialDelayMs = Math.min(REDIAL_MAX_MS, 2 * this.redialDelayMs);
-    return handlers;
   }
 }
--- a/packages/sidecar/src/connection/peerServer.ts
+++ b/packages/sidecar/src/connection/peerServer.ts
@@ -7,16 +7,19 @@
 import {ANNOUNCED_LINKS, CLOSING_FLUSH_MS} from '../constants.js';
 import type {AcceptedLinkParts} from './acceptedLink.js';
 import {AcceptedLink} from './acceptedLink.js';
+import {LinkSessions} from './linkSessions.js';
 
 /** Listens for links from other nodes and keeps track of them. */
 export class PeerServer {
   private readonly server: Server;
   private readonly links = new Set<AcceptedLink>();
+  private readonly sessions: LinkSessions;
   private isClosing = false;
   /** Set while close() waits for the last link to end. */
   private handleLastClosed: (() => void) | undefined;
 
   constructor(private readonly parts: AcceptedLinkParts) {
+    this.sessions = new LinkSessions(parts.clock);
     this.server = createServer({noDelay: true}, (socket) =>
       this.accept(socket),
     );
@@ -70,10 +73,15 @@
       socket.destroy();
       return;
     }
-    const link: AcceptedLink = new AcceptedLink(socket, this.parts, () => {
-      this.links.delete(link);
-      if (this.links.size === 0) this.handleLastClosed?.();
-    });
+    const link: AcceptedLink = new AcceptedLink(
+      socket,
+      this.parts,
+      this.sessions,
+      () => {
+        this.links.delete(link);
+        if (this.links.size === 0) this.handleLastClosed?.();
+      },
+    );
     this.links.add(link);
   }
 
--- /dev/null
+++ b/packages/sidecar/src/connection/pendingCalls.ts
@@ -0,0 +1,78 @@
+/** The calls of an origin on one link that have no result yet. */
+import {RESUME_IDEMPOTENT_MS, RESUME_WAIT_MS} from '../constants.js';
+import type {CallResult, ResultHandler} from '../types.js';
+import {createLoss} from './callFailure.js';
+
+interface PendingEntry {
+  readonly isIdempotent: boolean;
+  readonly handle: ResultHandler;
+}
+
+/**
+ * Matches results to calls. When the link is lost, the calls wait for another
+ * connection, on which the gate tells what became of them. Idempotent calls
+ * wait only briefly, as they can be sent to another node instead.
+ */
+export class PendingCalls {
+  private readonly entries = new Map<number, PendingEntry>();
+  private timers: readonly NodeJS.Timeout[] = [];
+
+  count(): number {
+    return this.entries.size;
+  }
+
+  listIds(): readonly number[] {
+    return [...this.entries.keys()];
+  }
+
+  add(id: number, isIdempotent: boolean, handle: ResultHandler): void {
+    this.entries.set(id, {isIdempotent, handle});
+  }
+
+  /** Forgets a call; returns false if it already has its result. */
+  remove(id: number): boolean {
+    return this.entries.delete(id);
+  }
+
+  /** Hands a result to its call, unless the call was cancelled. */
+  settle(id: number, result: CallResult): void {
+    const entry = this.entries.get(id);
+    this.entries.delete(id);
+    entry?.handle(result);
+  }
+
+  /** Ends all calls with the same result. */
+  settleAll(result: CallResult): void {
+    this.stopWaiting();
+    const entries = [...this.entries.values()];
+    this.entries.clear();
+    for (const {handle} of entries) handle(result);
+  }
+
+  /**
+   * Limits the time until the gate has told what became of the calls, however
+   * often the link is lost meanwhile.
+   */
+  startWaiting(handleExpiry: () => void): void {
+    if (this.timers.length > 0 || this.entries.size === 0) return;
+    const expire = (isDue: (entry: PendingEntry) => boolean) => {
+      for (const [id, entry] of [...this.entries]) {
+        if (isDue(entry)) this.settle(id, createLoss());
+      }
+      if (this.entries.size === 0) this.stopWaiting();
+      handleExpiry();
+    };
+    this.timers = [
+      setTimeout(
+        () => expire(({isIdempotent}) => isIdempotent),
+        RESUME_IDEMPOTENT_MS,
+      ),
+      setTimeout(() => expire(() => true), RESUME_WAIT_MS),
+    ];
+  }
+
+  stopWaiting(): void {
+    for (const timer of this.timers) clearTimeout(timer);
+    this.timers = [];
+  }
+}
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -42,6 +42,16 @@
 export const CLOSING_REFUSAL_MS = 200;
 /** Time at the end of a close that is reserved for sending the last frames. */
 export const CLOSING_FLUSH_MS = 100;
+/**
+ * Time for which the calls of a lost link wait for another connection to the
+ * same process, on which their results arrive.
+ */
+export const RESUME_WAIT_MS = 1_500;
+/** The same for idempotent calls, which can be sent to another node. */
+export const RESUME_IDEMPOTENT_MS = 400;
+/** A gate keeps unacknowledged results for this long, and of this size. */
+export const RETAINED_RESULT_MS = 4_000;
+export const RETAINED_RESULT_BYTES = 8 * 1024 * 1024;
 /** Time for which a node is avoided after it lost its link or had a fault. */
 export const AVOID_MS = 1_000;
 /**
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -18,7 +18,7 @@
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import type {Importance} from 'sycamoreyoke/types';
 import {RefusalReason} from 'sycamoreyoke/types';
-import {createFailure} from '../connection/peerLink.js';
+import {createFailure} from '../connection/callFailure.js';
 import type {UpstreamPool} from '../connection/upstreamPool.js';
 import {DEFAULT_SLOTS, DRAIN_START_SHARE, GATE_TICK_MS} from '../constants.js';
 import {UpstreamRun} from '../request/upstreamRun.js';
--- a/packages/sidecar/src/request/originCall.test.ts
+++ b/packages/sidecar/src/request/originCall.test.ts
@@ -4,7 +4,7 @@
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {Importance} from 'sycamoreyoke/types';
 import {Repeatability} from 'sycamoreyoke/version/routeTable';
-import {createFailure} from '../connection/peerLink.js';
+import {createFailure} from '../connection/callFailure.js';
 import type {ChosenNode} from '../process/peerTask.js';
 import type {PendingCall, ResultHandler} from '../types.js';
 import {GateReason} from '../types.js';
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -13,7 +13,7 @@
 import type {Importance} from 'sycamoreyoke/types';
 import type {Route} from 'sycamoreyoke/version/routeTable';
 import {Repeatability} from 'sycamoreyoke/version/routeTable';
-import {createFailure} from '../connection/peerLink.js';
+import {createFailure} from '../connection/callFailure.js';
 import {ANSWER_MARGIN_MS, NO_MEMBER_RETRY_MS} from '../constants.js';
 import type {ChosenNode, PeerTask} from '../process/peerTask.js';
 import type {CallResult, HeaderList, PendingCall} from '../types.js';
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -1,7 +1,7 @@
 /** Runs a request on the upstream. */
 import {Completion} from 'sycamoreyoke/process/types';
 import {SendEnd} from 'sycamoreyoke/request/resend';
-import {createFailure} from '../connection/peerLink.js';
+import {createFailure} from '../connection/callFailure.js';
 import type {
   ExchangeResult,
   UpstreamConnection,
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -232,8 +232,14 @@
     decodeNode: adapter.decodeNode,
     handleChange: (nodes) => peers.update(nodes),
   });
+  const loop = new LoopWatch({
+    clock,
+    readIdleMs: readLoopIdleMs,
+    runAfterTurn,
+  });
   const peerServer: PeerServer = new PeerServer({
     clock,
+    findEarliestArrivalMs: () => loop.findEarliestArrivalMs(),
     describeSelf: () => ({node: self, report: describeReport()}),
     offer: (call, handle) => upstream.offer(call, handle),
     handleHello: (node) => fleet.handleNode(node),
@@ -319,11 +325,6 @@
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
     readStopSchedule: () => lifecycle.stop,
   });
-  const loop = new LoopWatch({
-    clock,
-    readIdleMs: readLoopIdleMs,
-    runAfterTurn,
-  });
   const clients = new ClientListener(
     {
       record,
