--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -19,15 +19,15 @@
 import type {ConfigurationPeer} from '../process/configurationTask.js';
 import {runAfterNextRead} from '../process/eventLoop.js';
 import type {ByteBudget} from './byteBudget.js';
-import type {Frame} from './peerFrames.js';
+import type {Frame} from './frame.js';
 import {FrameReader} from './frameReader.js';
 import {
   FRAME_REVISION,
   FrameKind,
   GOODBYE_REVISION,
   TOLERANT_REVISION,
-  sendFrame,
-} from './peerFrames.js';
+} from './frame.js';
+import {sendFrame} from './peerFrames.js';
 import {createClosingRefusal, createLoss} from './callFailure.js';
 import type {LinkSession, SessionLink} from './linkSession.js';
 import type {LinkSessions} from './linkSessions.js';
--- a/packages/sidecar/src/connection/frameReader.test.ts
+++ b/packages/sidecar/src/connection/frameReader.test.ts
@@ -9,8 +9,9 @@
   createNode,
   createResponse,
 } from './linkHarness.test.js';
-import type {Frame} from './peerFrames.js';
-import {FRAME_REVISION, FrameKind, encodeFrame} from './peerFrames.js';
+import type {Frame} from './frame.js';
+import {FRAME_REVISION, FrameKind} from './frame.js';
+import {encodeFrame} from './peerFrames.js';
 
 const packr = new Packr({useRecords: false});
 /** First byte of a MessagePack list with one element. */
--- a/packages/sidecar/src/connection/frameReader.ts
+++ b/packages/sidecar/src/connection/frameReader.ts
@@ -3,7 +3,7 @@
 import type {ByteBudget} from './byteBudget.js';
 import {ByteList} from './byteList.js';
 import {FrameError} from './frameFields.js';
-import type {Frame} from './peerFrames.js';
+import type {Frame} from './frame.js';
 import {LENGTH_BYTES, decodeFrame} from './peerFrames.js';
 
 /** Dependencies of a frame reader. */
--- a/packages/sidecar/src/connection/lateCalls.test.ts
+++ b/packages/sidecar/src/connection/lateCalls.test.ts
@@ -10,8 +10,9 @@
   openNode,
   waitFor,
 } from './linkHarness.test.js';
-import type {Frame} from './peerFrames.js';
-import {FRAME_REVISION, FrameKind, encodeFrame} from './peerFrames.js';
+import type {Frame} from './frame.js';
+import {FRAME_REVISION, FrameKind} from './frame.js';
+import {encodeFrame} from './peerFrames.js';
 
 const LATE_MS = 700;
 
--- a/packages/sidecar/src/connection/linkClose.test.ts
+++ b/packages/sidecar/src/connection/linkClose.test.ts
@@ -19,8 +19,9 @@
   sendCall,
   waitFor,
 } from './linkHarness.test.js';
-import type {Frame} from './peerFrames.js';
-import {FRAME_REVISION, FrameKind, encodeFrame} from './peerFrames.js';
+import type {Frame} from './frame.js';
+import {FRAME_REVISION, FrameKind} from './frame.js';
+import {encodeFrame} from './peerFrames.js';
 
 const LARGE_BYTES = 8 * 1024 * 1024;
 const CLOSE_MS = 5_000;
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -13,7 +13,7 @@
   ResultHandler,
 } from '../types.js';
 import {ByteBudget} from './byteBudget.js';
-import type {Frame} from './peerFrames.js';
+import type {Frame} from './frame.js';
 import {FrameReader} from './frameReader.js';
 import type {LinkEvents} from './peerLink.js';
 import {PeerLink} from './peerLink.js';
--- a/packages/sidecar/src/connection/linkLoss.test.ts
+++ b/packages/sidecar/src/connection/linkLoss.test.ts
@@ -18,12 +18,8 @@
 } from './linkHarness.test.js';
 import type {CallResult} from '../types.js';
 import {GateReason} from '../types.js';
-import {
-  FRAME_REVISION,
-  FrameKind,
-  GOODBYE_REVISION,
-  encodeFrame,
-} from './peerFrames.js';
+import {FRAME_REVISION, FrameKind, GOODBYE_REVISION} from './frame.js';
+import {encodeFrame} from './peerFrames.js';
 import {createFailure} from './callFailure.js';
 
 const LARGE_BYTES = 8 * 1024 * 1024;
--- a/packages/sidecar/src/connection/linkResume.test.ts
+++ b/packages/sidecar/src/connection/linkResume.test.ts
@@ -23,12 +23,8 @@
   waitFor,
 } from './linkHarness.test.js';
 import {LinkSession} from './linkSession.js';
-import {
-  FRAME_REVISION,
-  FrameKind,
-  GOODBYE_REVISION,
-  encodeFrame,
-} from './peerFrames.js';
+import {FRAME_REVISION, FrameKind, GOODBYE_REVISION} from './frame.js';
+import {encodeFrame} from './peerFrames.js';
 import {ResultRetention} from './resultRetention.js';
 
 /** A proxy whose open connections a test resets or silences. */
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -30,15 +30,15 @@
 } from './callFailure.js';
 import type {ByteBudget} from './byteBudget.js';
 import {PendingCalls} from './pendingCalls.js';
-import type {Frame} from './peerFrames.js';
+import type {Frame} from './frame.js';
 import {FrameReader} from './frameReader.js';
 import {
   FRAME_REVISION,
   FrameKind,
   RESUME_REVISION,
   TOLERANT_REVISION,
-  sendFrame,
-} from './peerFrames.js';
+} from './frame.js';
+import {sendFrame} from './peerFrames.js';
 
 /** Callbacks of a link. */
 export interface LinkEvents {
--- a/packages/sidecar/src/process/configurationTask.ts
+++ b/packages/sidecar/src/process/configurationTask.ts
@@ -2,8 +2,8 @@
 import type {Clock} from 'sycamoreyoke/clock';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
-import type {Frame} from '../connection/peerFrames.js';
-import {FrameKind} from '../connection/peerFrames.js';
+import type {Frame} from '../connection/frame.js';
+import {FrameKind} from '../connection/frame.js';
 import {PEER_VERSION_WAIT_MS} from '../constants.js';
 import type {
   ConfigurationDecoder,
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -12,11 +12,8 @@
   openRawServer,
   waitFor,
 } from '../connection/linkHarness.test.js';
-import {
-  FRAME_REVISION,
-  FrameKind,
-  encodeFrame,
-} from '../connection/peerFrames.js';
+import {FRAME_REVISION, FrameKind} from '../connection/frame.js';
+import {encodeFrame} from '../connection/peerFrames.js';
 import type {CallResult} from '../types.js';
 import {PeerTask} from './peerTask.js';
 
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -10,7 +10,7 @@
 import {choosePlacement} from 'sycamoreyoke/process/placement';
 import type {ByteBudget} from '../connection/byteBudget.js';
 import type {FrameReader} from '../connection/frameReader.js';
-import {FrameKind} from '../connection/peerFrames.js';
+import {FrameKind} from '../connection/frame.js';
 import type {LinkEvents} from '../connection/peerLink.js';
 import {PeerLink} from '../connection/peerLink.js';
 import {chooseSubset, findSuccessor} from 'sycamoreyoke/process/linkSubset';
