--- /dev/null
+++ b/packages/sidecar/src/connection/linkEvents.ts
@@ -0,0 +1,19 @@
+/** What a link reports to the task that owns it. */
+import type {NodeRecord, NodeReport} from '../types.js';
+import type {Frame} from './frame.js';
+import type {PeerLink} from './peerLink.js';
+
+/** Callbacks of a link. */
+export interface LinkEvents {
+  readonly describeSelf: () => {node: NodeRecord; report: NodeReport};
+  handleReport(link: PeerLink, report: NodeReport): void;
+  /** Called with the node that answered, which may not be the expected one. */
+  handleHello(link: PeerLink, node: NodeRecord): void;
+  handleFrame(link: PeerLink, frame: Frame): void;
+  handleUp(link: PeerLink): void;
+  handleDown(link: PeerLink, message: string): void;
+  /** Called when a ping timed out; other connections may be dead as well. */
+  handleSilentLink(): void;
+  /** Called when the node closes the link; this many calls have not run. */
+  handleClosing(link: PeerLink, calls: number): void;
+}
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -15,7 +15,7 @@
 import {ByteBudget} from './byteBudget.js';
 import type {Frame} from './frame.js';
 import {FrameReader} from './frameReader.js';
-import type {LinkEvents} from './peerLink.js';
+import type {LinkEvents} from './linkEvents.js';
 import {PeerLink} from './peerLink.js';
 import {PeerServer} from './peerServer.js';
 
--- a/packages/sidecar/src/connection/linkResume.test.ts
+++ b/packages/sidecar/src/connection/linkResume.test.ts
@@ -4,7 +4,10 @@
 import {VirtualClock} from 'sycamoreyoke/clock';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
+  LINK_TICK_MS,
   PING_MS,
+  PING_TIMEOUT_MS,
+  REPLACE_MS,
   RETAINED_RESULT_BYTES,
   RETAINED_RESULT_MS,
 } from '../constants.js';
@@ -35,14 +38,20 @@
   cut(): void;
   /** Forwards nothing more on the open connections, in either direction. */
   silence(): void;
+  /** Delays what the node sends. */
+  setDelay(delayMs: number): void;
 }
 
 async function openProxy(target: Address): Promise<CuttableProxy> {
   const pairs: Array<readonly [Socket, Socket]> = [];
+  let delayMs = 0;
   const {address, server} = await openRawServer((clientSocket) => {
     const targetSocket = connect(target);
     clientSocket.pipe(targetSocket);
-    targetSocket.pipe(clientSocket);
+    targetSocket.on('data', (chunk) => {
+      if (delayMs === 0) clientSocket.write(chunk);
+      else setTimeout(() => clientSocket.write(chunk), delayMs);
+    });
     clientSocket.on('error', () => targetSocket.destroy());
     targetSocket.on('error', () => clientSocket.destroy());
     pairs.push([clientSocket, targetSocket]);
@@ -50,6 +59,9 @@
   return {
     address,
     server,
+    setDelay: (changedMs) => {
+      delayMs = changedMs;
+    },
     cut: () => {
       for (const socket of pairs.splice(0).flat()) socket.resetAndDestroy();
     },
@@ -57,6 +69,7 @@
       for (const [clientSocket, targetSocket] of pairs.splice(0)) {
         for (const socket of [clientSocket, targetSocket]) {
           socket.unpipe();
+          socket.removeAllListeners('data');
           socket.removeAllListeners('end');
           socket.resume();
         }
@@ -115,6 +128,38 @@
   await close();
 });
 
+// Guards against calls that fail while their link is silent for seconds: a
+// quick call shows long before a ping times out that something is wrong.
+it('resume: a silent connection under an overdue call is replaced', async () => {
+  const {node, proxy, link, close} = await openTrial();
+  proxy.silence();
+  const startedMs = performance.now();
+  const sending = new Promise<CallResult>((resolve) =>
+    link.link.send(createCall('r-1'), resolve, 20),
+  );
+  expect((await sending).end).to.equal(SendEnd.REFUSED_BY_GATE);
+  expect(performance.now() - startedMs).to.be.lessThan(PING_TIMEOUT_MS);
+  expect(node.received).to.deep.equal([]);
+  expect(link.losses).to.deep.equal(['replaced a silent connection']);
+  await close();
+});
+
+// Guards against replacing the connections of a node that is only behind: that
+// costs both ends time when they have none.
+it('resume: a slow connection that answers is kept', async () => {
+  const {node, proxy, link, close} = await openTrial();
+  proxy.setDelay(REPLACE_MS + LINK_TICK_MS + 100);
+  const sending = new Promise<CallResult>((resolve) =>
+    link.link.send(createCall('r-1'), resolve, 20),
+  );
+  await waitFor(() => node.received.length === 1);
+  await new Promise((resolve) => setTimeout(resolve, 1_500));
+  node.received[0]?.settle(createResponse('r-1'));
+  expect((await sending).end).to.equal(SendEnd.RESPONSE);
+  expect(link.losses).to.deep.equal([]);
+  await close();
+});
+
 // Guards against calling a call unknown that its gate has never received.
 it('resume: a call that has not arrived is refused as not run', async () => {
   const {node, proxy, link, close} = await openTrial();
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -10,10 +10,15 @@
   CLOSING_SILENCE_MS,
   CONNECT_TIMEOUT_MS,
   IDLE_PING_MS,
+  MIN_OVERDUE_MS,
+  MIN_REPLACE_INTERVAL_MS,
+  OVERDUE_FACTOR,
+  OVERDUE_PING_MS,
   PING_MS,
   PING_TIMEOUT_MS,
   REDIAL_MAX_MS,
   REDIAL_MIN_MS,
+  REPLACE_MS,
 } from '../constants.js';
 import type {
   NodeRecord,
@@ -23,6 +28,7 @@
   ResultHandler,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import {runAfterNextRead} from '../process/eventLoop.js';
 import {
   createClosingRefusal,
   createFailure,
@@ -31,6 +37,7 @@
 import type {ByteBudget} from './byteBudget.js';
 import {PendingCalls} from './pendingCalls.js';
 import type {Frame} from './frame.js';
+import type {LinkEvents} from './linkEvents.js';
 import {FrameReader} from './frameReader.js';
 import {
   FRAME_REVISION,
@@ -40,21 +47,6 @@
 } from './frame.js';
 import {sendFrame} from './peerFrames.js';
 
-/** Callbacks of a link. */
-export interface LinkEvents {
-  readonly describeSelf: () => {node: NodeRecord; report: NodeReport};
-  handleReport(link: PeerLink, report: NodeReport): void;
-  /** Called with the node that answered, which may not be the expected one. */
-  handleHello(link: PeerLink, node: NodeRecord): void;
-  handleFrame(link: PeerLink, frame: Frame): void;
-  handleUp(link: PeerLink): void;
-  handleDown(link: PeerLink, message: string): void;
-  /** Called when a ping timed out; other connections may be dead as well. */
-  handleSilentLink(): void;
-  /** Called when the node closes the link; this many calls have not run. */
-  handleClosing(link: PeerLink, calls: number): void;
-}
-
 /** Keeps a socket to a node open, and matches results to pending calls. */
 export class PeerLink {
   /** The node's latest report; undefined until it has answered. */
@@ -64,6 +56,9 @@
   /** When the link was lost or, before it was up, first dialled. */
   lostMs: number;
   private socket: Socket | undefined;
+  /** Another connection, dialled while this one does not answer a ping. */
+  private replacement: Socket | undefined;
+  private lastReplacementMs = -Infinity;
   private isUp = false;
   private peerRevision = 0;
   private isStopped = false;
@@ -98,20 +93,30 @@
   }
 
   /** Sends a call; the handler is called once with its result. */
-  send(call: OutgoingCall, handle: ResultHandler): PendingCall {
+  send(
+    call: OutgoingCall,
+    handle: ResultHandler,
+    /** Time that calls of this kind usually take at the node, ms. */
+    usualMs = Infinity,
+  ): PendingCall {
     const {socket} = this;
     if (!socket || !this.isUp) {
       handle(createFailure(SendEnd.REFUSED_BY_GATE, GateReason.LINK_LOST));
       return {cancel: () => undefined};
     }
     const id = this.nextId++;
-    this.pendingCalls.add(id, call.isIdempotent, handle);
+    const sentMs = this.clock.readMs();
+    this.pendingCalls.add(id, {
+      isIdempotent: call.isIdempotent,
+      overdueMs: sentMs + Math.max(MIN_OVERDUE_MS, OVERDUE_FACTOR * usualMs),
+      handle,
+    });
     this.sentSinceReport += 1;
     sendFrame(socket, {
       kind: FrameKind.CALL,
       id,
       call,
-      sentMs: this.clock.readMs(),
+      sentMs,
       acknowledgedIds: this.unacknowledgedIds,
     });
     this.unacknowledgedIds = [];
@@ -170,14 +175,18 @@
   }
 
   private dial(): void {
-    const {host, port} = this.node.address;
-    const socket = connect({host, port});
-    this.socket = socket;
     this.lastReceivedMs = this.clock.readMs();
+    this.socket = this.openSocket(this.session);
+  }
+
+  /** Opens a connection and sends HELLO on it, with a session or without. */
+  private openSocket(session: string | undefined): Socket {
+    const socket = connect(this.node.address);
     socket.setNoDelay(true);
     const reader = new FrameReader({
       handle: (frame) => {
         if (this.socket === socket) this.receive(socket, frame);
+        else if (this.replacement === socket) this.checkReplacement(socket);
       },
       budget: this.frameBudget,
       handleExcess: (message) => {
@@ -185,21 +194,15 @@
         else socket.destroy();
       },
     });
-    socket.on('connect', () => {
-      sendFrame(socket, {
-        kind: FrameKind.HELLO,
-        ...this.events.describeSelf(),
-        revision: FRAME_REVISION,
-        session: this.session,
-      });
-    });
+    socket.on('connect', () => this.sendHello(socket, session));
     socket.on('data', (chunk) => {
       // Part of a large frame on a slow link also shows that it is alive.
       if (this.socket === socket) this.recordActivity();
       try {
         reader.add(chunk);
       } catch (error) {
-        this.disconnect(`invalid frame: ${(error as Error).message}`);
+        socket.destroy();
+        this.handleEnd(socket, `invalid frame: ${(error as Error).message}`);
       }
     });
     // Destroy the socket: otherwise it closes only after its pending frames are
@@ -218,6 +221,52 @@
       reader.close();
       this.handleEnd(socket, 'connection closed');
     });
+    return socket;
+  }
+
+  private sendHello(socket: Socket, session: string | undefined): void {
+    sendFrame(socket, {
+      kind: FrameKind.HELLO,
+      ...this.events.describeSelf(),
+      revision: FRAME_REVISION,
+      session,
+    });
+  }
+
+  /**
+   * Dials another connection while a ping is unanswered. It does not name the
+   * session yet, which would end the present connection.
+   */
+  private dialReplacement(): void {
+    this.lastReplacementMs = this.clock.readMs();
+    this.replacement = this.openSocket(undefined);
+  }
+
+  /**
+   * Handles an answer on the other connection. A node that is behind answers on
+   * the present one too, with the same delay, so that is read first.
+   */
+  private checkReplacement(socket: Socket): void {
+    runAfterNextRead(() => {
+      if (this.replacement !== socket) return;
+      this.replacement = undefined;
+      const isSilent = this.lastReceivedMs < this.lastReplacementMs;
+      if (this.isUp && isSilent) this.replaceWith(socket);
+      else socket.destroy();
+    });
+  }
+
+  /** Continues on another connection, where the pending calls are resumed. */
+  private replaceWith(socket: Socket): void {
+    const silent = this.socket;
+    this.socket = socket;
+    this.isUp = false;
+    this.recordActivity();
+    silent?.destroy();
+    this.events.handleDown(this, 'replaced a silent connection');
+    this.pendingCalls.startWaiting(() => this.stopIfDone());
+    this.sendHello(socket, this.session);
+    this.events.handleSilentLink();
   }
 
   /**
@@ -234,16 +283,33 @@
       return;
     }
     if (this.pingSentMs !== undefined) {
-      if (nowMs - this.pingSentMs >= PING_TIMEOUT_MS) {
+      const waitedMs = nowMs - this.pingSentMs;
+      if (waitedMs >= PING_TIMEOUT_MS) {
         this.disconnect(`no answer to a ping for ${PING_TIMEOUT_MS} ms`);
         this.events.handleSilentLink();
+      } else if (waitedMs >= REPLACE_MS && this.needsReplacement(nowMs)) {
+        this.dialReplacement();
       }
       return;
     }
-    const intervalMs = this.pendingCalls.count() > 0 ? PING_MS : IDLE_PING_MS;
+    const intervalMs = this.computePingIntervalMs(nowMs);
     if (nowMs - this.lastReceivedMs >= intervalMs) this.probe();
   }
 
+  private computePingIntervalMs(nowMs: number): number {
+    if (this.pendingCalls.count() === 0) return IDLE_PING_MS;
+    return this.pendingCalls.hasOverdue(nowMs) ? OVERDUE_PING_MS : PING_MS;
+  }
+
+  private needsReplacement(nowMs: number): boolean {
+    return (
+      this.pendingCalls.count() > 0 &&
+      this.peerRevision >= RESUME_REVISION &&
+      this.replacement === undefined &&
+      nowMs - this.lastReplacementMs >= MIN_REPLACE_INTERVAL_MS
+    );
+  }
+
   private recordActivity(): void {
     this.lastReceivedMs = this.clock.readMs();
     this.pingSentMs = undefined;
@@ -311,6 +377,7 @@
    * wait until the process that had them can be asked.
    */
   private handleEnd(socket: Socket, message: string): void {
+    if (this.replacement === socket) this.replacement = undefined;
     if (this.socket !== socket) return;
     const wasUp = this.isUp;
     const canResume =
@@ -338,6 +405,8 @@
   private release(redialDelayMs: number): void {
     const nowMs = this.clock.readMs();
     this.socket = undefined;
+    this.replacement?.destroy();
+    this.replacement = undefined;
     if (this.isUp) this.lostMs = nowMs;
     this.isUp = false;
     this.avoidedUntilMs = nowMs + AVOID_MS;
--- a/packages/sidecar/src/connection/pendingCalls.ts
+++ b/packages/sidecar/src/connection/pendingCalls.ts
@@ -5,6 +5,8 @@
 
 interface PendingEntry {
   readonly isIdempotent: boolean;
+  /** When the call takes longer than usual, clock ms. */
+  readonly overdueMs: number;
   readonly handle: ResultHandler;
 }
 
@@ -25,8 +27,16 @@
     return [...this.entries.keys()];
   }
 
-  add(id: number, isIdempotent: boolean, handle: ResultHandler): void {
-    this.entries.set(id, {isIdempotent, handle});
+  add(id: number, entry: PendingEntry): void {
+    this.entries.set(id, entry);
+  }
+
+  /** Whether a call takes longer than usual, which may be the link's fault. */
+  hasOverdue(nowMs: number): boolean {
+    for (const {overdueMs} of this.entries.values()) {
+      if (overdueMs <= nowMs) return true;
+    }
+    return false;
   }
 
   /** Forgets a call; returns false if it already has its result. */
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -8,9 +8,21 @@
  */
 export const CONNECT_TIMEOUT_MS = 1_200;
 /** Interval at which links are checked for silence. */
-export const LINK_TICK_MS = 250;
+export const LINK_TICK_MS = 100;
 /** A link with pending calls is pinged after this silence. */
 export const PING_MS = 400;
+/** The same if a call takes longer than its kind usually does at the node. */
+export const OVERDUE_PING_MS = 100;
+/** A call is overdue after this multiple of its usual time, and no sooner. */
+export const OVERDUE_FACTOR = 2;
+export const MIN_OVERDUE_MS = 100;
+/**
+ * If a ping under calls is not answered within this time, another connection is
+ * dialled. If the node answers on it first, it replaces the silent one.
+ */
+export const REPLACE_MS = 150;
+/** Shortest interval between two such attempts on a link. */
+export const MIN_REPLACE_INTERVAL_MS = 2_000;
 /**
  * An idle link is pinged after this silence. In a full mesh of 79 nodes, pings
  * every 500 ms used too much CPU time.
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -11,7 +11,7 @@
 import type {ByteBudget} from '../connection/byteBudget.js';
 import type {FrameReader} from '../connection/frameReader.js';
 import {FrameKind} from '../connection/frame.js';
-import type {LinkEvents} from '../connection/peerLink.js';
+import type {LinkEvents} from '../connection/linkEvents.js';
 import {PeerLink} from '../connection/peerLink.js';
 import {chooseSubset, findSuccessor} from 'sycamoreyoke/process/linkSubset';
 import type {Random} from 'sycamoreyoke/random';
@@ -260,7 +260,9 @@
     return {
       node,
       send: (call, handle) =>
-        link ? link.send(call, handle) : this.parts.offerLocally(call, handle),
+        link
+          ? link.send(call, handle, this.meanTimes.get(node)?.get(call.kind))
+          : this.parts.offerLocally(call, handle),
       avoid: () => {
         const untilMs = this.parts.clock.readMs() + AVOID_MS;
         if (link) link.avoidedUntilMs = untilMs;
