--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -1,6 +1,7 @@
 /** The accepting side of a link between nodes, which runs the peer's calls. */
 import type {Socket} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
+import {SendEnd} from 'sycamoreyoke/request/resend';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {
   ACCEPTED_SILENCE_MS,
@@ -16,6 +17,7 @@
   PendingCall,
   ResultHandler,
 } from '../types.js';
+import {GateReason} from '../types.js';
 import type {ConfigurationPeer} from '../process/configurationTask.js';
 import {runAfterNextRead} from '../process/eventLoop.js';
 import type {ByteBudget} from './byteBudget.js';
@@ -28,7 +30,11 @@
   TOLERANT_REVISION,
 } from './frame.js';
 import {sendFrame} from './peerFrames.js';
-import {createClosingRefusal, createLoss} from './callFailure.js';
+import {
+  createClosingRefusal,
+  createFailure,
+  createLoss,
+} from './callFailure.js';
 import type {LinkSession, SessionLink} from './linkSession.js';
 import type {LinkSessions} from './linkSessions.js';
 import {TransitDelay} from './transitDelay.js';
@@ -38,6 +44,8 @@
   readonly clock: Clock;
   /** Returns the earliest time at which bytes read now can have arrived. */
   readonly findEarliestArrivalMs: () => number;
+  /** Limits the bytes of results that the peer has not read yet. */
+  readonly maxOutputBytes: number;
   readonly describeSelf: () => {node: NodeRecord; report: NodeReport};
   readonly offer: (call: OutgoingCall, handle: ResultHandler) => PendingCall;
   readonly handleHello: (node: NodeRecord) => void;
@@ -318,6 +326,11 @@
 
   sendResult(id: number, result: CallResult): void {
     const report = this.describeReport();
-    this.send({kind: FrameKind.RESULT, id, result, report});
+    const queuedBytes = this.socket.writableLength + result.body.length;
+    const isTooMuch = queuedBytes > this.parts.maxOutputBytes;
+    const sent = isTooMuch
+      ? createFailure(SendEnd.LOST, GateReason.MEMORY_FULL)
+      : result;
+    this.send({kind: FrameKind.RESULT, id, result: sent, report});
   }
 }
--- a/packages/sidecar/src/connection/clientConnection.ts
+++ b/packages/sidecar/src/connection/clientConnection.ts
@@ -4,6 +4,7 @@
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
+import type {ByteBudget} from './byteBudget.js';
 import {runAfterNextRead} from '../process/eventLoop.js';
 import {
   CLIENT_LINGER_MS,
@@ -21,6 +22,8 @@
   /** Returns the earliest time at which bytes read now can have arrived. */
   readonly findEarliestArrivalMs: () => number;
   readonly isStopping: () => boolean;
+  /** Limits the bytes of answers that clients have not read yet. */
+  readonly output: ByteBudget<ClientExchange>;
 }
 
 /** Serves a request and gives its answer to the exchange. */
@@ -74,8 +77,13 @@
     }
     // What the process was behind counts as time that the request has waited.
     const arrivedMs = this.findArrivalMs();
-    const exchange = new ClientExchange(request, arrivedMs, response, () =>
-      this.flush(),
+    const {output} = this.parts;
+    const exchange = new ClientExchange(
+      request,
+      arrivedMs,
+      response,
+      output,
+      () => this.flush(),
     );
     this.accepted += 1;
     this.queued.push(exchange);
--- a/packages/sidecar/src/connection/clientExchange.ts
+++ b/packages/sidecar/src/connection/clientExchange.ts
@@ -1,5 +1,6 @@
 /** A client's request and its answer. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ByteBudget} from './byteBudget.js';
 
 /** An answer, without the headers that concern the connection. */
 export interface ClientAnswer {
@@ -28,6 +29,9 @@
  */
 const MAX_TEXT_BODY_BYTES = 16 * 1024;
 
+/** Answers up to this size are written even if slow clients fill the memory. */
+const MAX_SMALL_BODY_BYTES = 64 * 1024;
+
 /** Replaces an answer that cannot be written; the request may have run. */
 const UNWRITABLE_ANSWER: ClientAnswer = {
   status: 502,
@@ -46,6 +50,7 @@
     /** On the node's clock, ms. */
     readonly arrivedMs: number,
     private readonly response: ServerResponse,
+    private readonly output: ByteBudget<ClientExchange>,
     private readonly handleAnswer: () => void,
   ) {}
 
@@ -60,11 +65,20 @@
     return isWaiting ? (this.storedAnswer?.body.length ?? 0) : 0;
   }
 
+  /** Replaces an answer for which there is no memory. */
+  private reserve(answer: ClientAnswer): ClientAnswer {
+    const {length} = answer.body;
+    const isOverBudget = this.output.reserve(this, length) !== undefined;
+    if (!isOverBudget || length <= MAX_SMALL_BODY_BYTES) return answer;
+    this.output.release(this);
+    return UNWRITABLE_ANSWER;
+  }
+
   /** Sets the answer; later ones are ignored. */
   answer(answer: ClientAnswer): void {
     if (this.state !== ExchangeState.RUNNING) return;
     this.state = ExchangeState.ANSWERED;
-    this.storedAnswer = answer;
+    this.storedAnswer = this.reserve(answer);
     this.handleAnswer();
   }
 
@@ -114,6 +128,7 @@
     if (this.state === ExchangeState.CLOSED) return;
     const isCut = !this.response.writableFinished;
     this.state = ExchangeState.CLOSED;
+    this.output.release(this);
     for (const handle of this.closeHandlers) handle(isCut);
   }
 }
--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -2,6 +2,7 @@
 import {connect} from 'node:net';
 import {expect} from 'chai';
 import {Metrics} from 'sycamoreyoke/process/metrics';
+import {ByteBudget} from './byteBudget.js';
 import type {ClientExchange} from './clientExchange.js';
 import {ClientListener} from './clientListener.js';
 
@@ -29,6 +30,7 @@
     readMs: () => performance.now(),
     findEarliestArrivalMs: () => performance.now() - harness.lateMs,
     isStopping: () => harness.isStopping,
+    output: new ByteBudget<ClientExchange>(Infinity),
   };
   const listener = new ClientListener(parts, (exchange) => {
     exchanges.push(exchange);
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -119,6 +119,7 @@
   const server = new PeerServer({
     clock: systemClock,
     findEarliestArrivalMs: () => systemClock.readMs(),
+    maxOutputBytes: Infinity,
     describeSelf: () => ({node: createNode(node, address), report: REPORT}),
     offer: (call, settle) => {
       const entry: ReceivedCall = {
--- a/packages/sidecar/src/connection/responseParser.ts
+++ b/packages/sidecar/src/connection/responseParser.ts
@@ -65,7 +65,7 @@
 const LibraryParser = HTTPParser as unknown as new (type: string) => LineParser;
 // The default drops the high bit of each byte, which can produce a line break.
 HTTPParser.encoding = 'latin1';
-// The bytes of an exchange are limited by RESPONSE_LIMITS.
+// The bytes of an exchange are limited by the connection.
 HTTPParser.maxHeaderSize = Infinity;
 
 /**
--- a/packages/sidecar/src/connection/upstreamConnection.test.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.test.ts
@@ -11,6 +11,7 @@
 import {ExchangeEnd, ResponseOwner} from './upstreamConnection.js';
 import {UpstreamPool} from './upstreamPool.js';
 
+const LIMITS = {responses: Infinity, responseBody: Infinity};
 const RESPONSE = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole';
 const REQUEST = {
   method: 'POST',
@@ -60,6 +61,7 @@
     {host: '127.0.0.1', port},
     () => systemClock.readMs(),
     () => undefined,
+    LIMITS,
   );
   const close = () => {
     pool.close();
@@ -178,6 +180,7 @@
     {host: '127.0.0.1', port},
     () => systemClock.readMs(),
     () => undefined,
+    LIMITS,
   );
   const runOnce = () =>
     new Promise<RunEnd>((handle) =>
--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -3,13 +3,12 @@
 import {connect} from 'node:net';
 import {
   KEEP_ALIVE_SHARE,
-  RESPONSE_LIMITS,
   UPSTREAM_CONNECT_TIMEOUT_MS,
   UPSTREAM_IDLE_MS,
 } from '../constants.js';
 import type {Address, HeaderList} from '../types.js';
 import {GateReason} from '../types.js';
-import type {ByteBudget, ExchangeBytes} from './byteBudget.js';
+import type {ByteBudget, ExchangeBytes, ExchangeLimits} from './byteBudget.js';
 import {findExceededLimit} from './byteBudget.js';
 import {ByteList} from './byteList.js';
 import {getHeader} from './headerList.js';
@@ -90,6 +89,8 @@
 export interface ConnectionParts {
   readonly address: Address;
   readonly readMs: () => number;
+  /** Limits what the upstream may send for one request. */
+  readonly limits: ExchangeLimits;
   /** Limits the bytes of incomplete responses of all connections together. */
   readonly budget: ByteBudget<UpstreamConnection>;
   /** Called when the connection can take another request. */
@@ -243,7 +244,7 @@
   }
 
   private checkBytes(bytes: ExchangeBytes): void {
-    const excess = findExceededLimit(bytes, RESPONSE_LIMITS);
+    const excess = findExceededLimit(bytes, this.parts.limits);
     if (excess) this.close(excess, GateReason.RESPONSE_TOO_LARGE);
   }
 
@@ -272,7 +273,7 @@
     this.response = {...head, owner, body: new ByteList()};
     const length = Number(getHeader(headers, 'content-length') ?? 0);
     if (request.method === 'HEAD' || NO_BODY_STATUSES.has(status)) return false;
-    if (length > RESPONSE_LIMITS.maxBodyBytes) {
+    if (length > this.parts.limits.maxBodyBytes) {
       const message = `upstream announced a body of ${length} bytes`;
       this.close(message, GateReason.RESPONSE_TOO_LARGE);
     }
--- a/packages/sidecar/src/connection/upstreamPool.ts
+++ b/packages/sidecar/src/connection/upstreamPool.ts
@@ -1,9 +1,10 @@
 /** A pool of keep-alive connections to the upstream. */
 import {
-  RESPONSE_BUFFER_BYTES,
+  MAX_OTHER_RESPONSE_BYTES,
   UPSTREAM_AMBIGUITY_MS,
   UPSTREAM_IDLE_MS,
 } from '../constants.js';
+import type {MemoryLimits} from '../process/memoryLimits.js';
 import type {Address} from '../types.js';
 import {ByteBudget} from './byteBudget.js';
 import {UpstreamConnection} from './upstreamConnection.js';
@@ -14,16 +15,17 @@
 export class UpstreamPool {
   private idleConnections: UpstreamConnection[] = [];
   private ambiguousUntilMs = -Infinity;
-  private readonly budget = new ByteBudget<UpstreamConnection>(
-    RESPONSE_BUFFER_BYTES,
-  );
+  private readonly budget: ByteBudget<UpstreamConnection>;
 
   constructor(
     private readonly address: Address,
     private readonly readMs: () => number,
     /** Called when bytes arrive that belong to no request. */
     private readonly handleUnexpectedBytes: (message: string) => void,
-  ) {}
+    private readonly limits: Pick<MemoryLimits, 'responses' | 'responseBody'>,
+  ) {
+    this.budget = new ByteBudget(limits.responses);
+  }
 
   /**
    * Takes a connection for a non-idempotent request: one on which a refusal
@@ -65,6 +67,10 @@
     return new UpstreamConnection({
       address: this.address,
       readMs: this.readMs,
+      limits: {
+        maxBodyBytes: this.limits.responseBody,
+        maxOtherBytes: MAX_OTHER_RESPONSE_BYTES,
+      },
       budget: this.budget,
       handleIdle: (connection) => this.idleConnections.push(connection),
       handleUnexpectedBytes: (message) => {
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -78,8 +78,6 @@
 export const LINK_BOUNDS = {total: 10, local: 6} as const;
 /** Largest frame between nodes: the largest body and its headers. */
 export const MAX_FRAME_BYTES = 80 * 1024 * 1024;
-/** Limit of incomplete frames of all links; a process has 350 MB. */
-export const FRAME_BUFFER_BYTES = 128 * 1024 * 1024;
 
 /** Idle time after which a connection to the upstream is not reused. */
 export const UPSTREAM_IDLE_MS = 4_000;
@@ -104,15 +102,10 @@
  */
 export const KEEP_ALIVE_SHARE = 0.6;
 /**
- * Limits of what an upstream may send for one request. A body is copied on its
- * way to the client, and a process has 350 MB.
+ * Limit of what an upstream may send for one request besides the body: heads,
+ * interim responses, framing and trailers.
  */
-export const RESPONSE_LIMITS = {
-  maxBodyBytes: 32 * 1024 * 1024,
-  maxOtherBytes: 128 * 1024,
-} as const;
-/** Limit of incomplete responses of all connections to the upstream. */
-export const RESPONSE_BUFFER_BYTES = 64 * 1024 * 1024;
+export const MAX_OTHER_RESPONSE_BYTES = 128 * 1024;
 /**
  * Timeout for connecting to the upstream on the same VM; a VM that hangs never
  * answers.
--- a/packages/sidecar/src/container.ts
+++ b/packages/sidecar/src/container.ts
@@ -12,6 +12,7 @@
 import {createRandom} from 'sycamoreyoke/random';
 import {UpstreamPool} from './connection/upstreamPool.js';
 import {DecisionLog, createOutputWriter} from './process/decisionLog.js';
+import {computeMemoryLimits} from './process/memoryLimits.js';
 import type {SidecarSettings} from './types.js';
 
 export const TOKENS = {
@@ -53,6 +54,7 @@
           const {record} = container.get<DecisionLog>(TOKENS.log);
           record(EventCode.MESSAGE_MALFORMED, {source: 'upstream', message});
         },
+        computeMemoryLimits(settings.memoryMb),
       ),
   );
   return container;
--- a/packages/sidecar/src/process/upstreamTask.test.ts
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -16,6 +16,8 @@
 import type {CrashGuard} from './upstreamTask.js';
 import {UpstreamTask} from './upstreamTask.js';
 
+const LIMITS = {responses: Infinity, responseBody: Infinity};
+
 /** Creates a task whose upstream listens at a port and announces one slot. */
 function createTask(
   port: number,
@@ -40,6 +42,7 @@
       {host: HOST, port},
       () => systemClock.readMs(),
       () => undefined,
+      LIMITS,
     ),
     crashes: {
       check: () => ({isRefused: false, retryAfterMs: 0}),
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -213,6 +213,8 @@
   readonly dataCentre: string;
   readonly ip: string;
   readonly peerPort: number;
+  /** Memory that the process may use, MB. */
+  readonly memoryMb: number;
   readonly metricsPort: number | undefined;
   readonly outbound: Address;
   readonly ready: Address;
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -22,13 +22,13 @@
 import type {Random} from 'sycamoreyoke/random';
 import {CallParents} from 'sycamoreyoke/process/callParents';
 import {ByteBudget} from './connection/byteBudget.js';
+import type {ClientExchange} from './connection/clientExchange.js';
 import {ClientListener} from './connection/clientListener.js';
 import type {FrameReader} from './connection/frameReader.js';
 import {PeerServer} from './connection/peerServer.js';
 import type {UpstreamPool} from './connection/upstreamPool.js';
 import {TOKENS, createContainer} from './container.js';
 import {
-  FRAME_BUFFER_BYTES,
   GATE_QUEUE_LIMIT,
   NODE_LIST_POLL_DELAY_MS,
   NODES_WATCH_MEAN_MS,
@@ -44,6 +44,7 @@
 import {readLoopIdleMs, runAfterTurn} from './process/eventLoop.js';
 import {FleetTask} from './process/fleetTask.js';
 import {LoopWatch} from './process/loopWatch.js';
+import {computeMemoryLimits} from './process/memoryLimits.js';
 import {PeerTask} from './process/peerTask.js';
 import {StoreFollower} from './process/storeFollower.js';
 import {UpstreamTask} from './process/upstreamTask.js';
@@ -112,6 +113,7 @@
   const metrics = container.get<Metrics>(TOKENS.metrics);
   const log = container.get<DecisionLog>(TOKENS.log);
   const {record} = log;
+  const memory = computeMemoryLimits(settings.memoryMb);
   const random = container.get<Random>(TOKENS.random);
   const lifecycle: SidecarLifecycle = {
     stop: undefined,
@@ -201,7 +203,7 @@
     configurationVersion: configuration.readVersion(),
     load: describeOwnLoad(),
   });
-  const frameBudget = new ByteBudget<FrameReader>(FRAME_BUFFER_BYTES);
+  const frameBudget = new ByteBudget<FrameReader>(memory.frames);
   const peers: PeerTask = new PeerTask({
     self,
     clock,
@@ -240,6 +242,7 @@
   const peerServer: PeerServer = new PeerServer({
     clock,
     findEarliestArrivalMs: () => loop.findEarliestArrivalMs(),
+    maxOutputBytes: memory.linkOutput,
     describeSelf: () => ({node: self, report: describeReport()}),
     offer: (call, handle) => upstream.offer(call, handle),
     handleHello: (node) => fleet.handleNode(node),
@@ -332,6 +335,7 @@
       readMs: () => clock.readMs(),
       findEarliestArrivalMs: () => loop.findEarliestArrivalMs(),
       isStopping: () => lifecycle.stop !== undefined,
+      output: new ByteBudget<ClientExchange>(memory.clientOutput),
     },
     (exchange) => origin.handle(exchange),
   );
