--- a/packages/sidecar/src/process/loopWatch.test.ts
+++ b/packages/sidecar/src/process/loopWatch.test.ts
@@ -31,7 +31,7 @@
   const loop = new TestLoop();
   loop.startTurn(5);
   const lastTurnMs = loop.watch.findEarliestArrivalMs();
-  loop.clock.advance(700);
+  loop.clock.advance(LOOP_TICK_MS);
   // The system call that reads events at once takes a moment too.
   loop.startTurn(0.05);
   expect(loop.watch.findEarliestArrivalMs()).to.equal(lastTurnMs);
