--- a/packages/sycamoreyoke/src/process/callParents.test.ts
+++ b/packages/sycamoreyoke/src/process/callParents.test.ts
@@ -1,4 +1,6 @@
 import {expect} from 'chai';
+import {createRandom} from '../random.js';
+import type {RunningParent} from './callParents.js';
 import {CallParents} from './callParents.js';
 
 function createParents(): CallParents {
@@ -37,3 +39,80 @@
   parents.finish('c');
   expect(parents.startCall(1_500)).to.equal(undefined);
 });
+
+/** The search of CallParents in its simplest form, over all requests. */
+class NaiveCallParents {
+  private readonly states = new Map<
+    string,
+    {deadlineMs: number; idleSinceMs: number; openCalls: number}
+  >();
+
+  start({ticket, deadlineMs}: RunningParent, nowMs: number): void {
+    this.states.set(ticket, {deadlineMs, idleSinceMs: nowMs, openCalls: 0});
+  }
+
+  finish(ticket: string): void {
+    this.states.delete(ticket);
+  }
+
+  startCall(callDeadlineMs: number): string | undefined {
+    const states = [...this.states].map(([ticket, state]) => ({
+      ticket,
+      state,
+      differenceMs: Math.abs(state.deadlineMs - callDeadlineMs),
+    }));
+    const [closest] = states
+      .filter(({differenceMs}) => differenceMs <= 6)
+      .sort((a, b) => a.differenceMs - b.differenceMs);
+    const [latest] = states
+      .filter(({state}) => state.openCalls === 0)
+      .filter(({state}) => state.deadlineMs + 6 >= callDeadlineMs)
+      .sort((a, b) => b.state.idleSinceMs - a.state.idleSinceMs);
+    const found = closest ?? latest;
+    if (found) found.state.openCalls += 1;
+    return found?.ticket;
+  }
+
+  finishCall(ticket: string, nowMs: number): void {
+    const state = this.states.get(ticket);
+    if (!state) return;
+    state.openCalls -= 1;
+    state.idleSinceMs = nowMs;
+  }
+}
+
+// Guards against a search by index that finds another parent than a search
+// through all running requests.
+it('call parents: the index agrees with a search of all requests', () => {
+  const random = createRandom(26);
+  const parents = new CallParents();
+  const naive = new NaiveCallParents();
+  const running: string[] = [];
+  const calling: string[] = [];
+  const take = (tickets: string[]) =>
+    tickets.splice(Math.floor(random() * tickets.length), 1)[0];
+  for (let step = 0; step < 20_000; step += 1) {
+    // Times differ, so that the latest is unambiguous.
+    const nowMs = step * 0.7;
+    const choice = random();
+    if (choice < 0.3) {
+      const parent = {ticket: `t-${step}`, deadlineMs: nowMs + random() * 300};
+      parents.start(parent, nowMs);
+      naive.start(parent, nowMs);
+      running.push(parent.ticket);
+    } else if (choice < 0.6) {
+      const callDeadlineMs = nowMs + random() * 320;
+      const found = parents.startCall(callDeadlineMs);
+      expect(found).to.equal(naive.startCall(callDeadlineMs));
+      if (found !== undefined) calling.push(found);
+    } else if (choice < 0.8) {
+      const ticket = take(calling) ?? '';
+      parents.finishCall(ticket, nowMs);
+      naive.finishCall(ticket, nowMs);
+    } else {
+      const ticket = take(running) ?? '';
+      parents.finish(ticket);
+      naive.finish(ticket);
+    }
+  }
+});
