--- a/packages/sidecar/src/connection/linkEvents.ts
+++ b/packages/sidecar/src/connection/linkEvents.ts
@@ -16,4 +16,6 @@
   handleSilentLink(): void;
   /** Called when the node closes the link; this many calls have not run. */
   handleClosing(link: PeerLink, calls: number): void;
+  /** Called when the node is asked about this many calls of a lost socket. */
+  handleResume(link: PeerLink, calls: number): void;
 }
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -59,6 +59,8 @@
   readonly closings: number[];
   /** Messages of its handleDown events. */
   readonly losses: string[];
+  /** Counts passed to its handleResume events. */
+  readonly resumes: number[];
   readonly stop: () => void;
 }
 
@@ -152,6 +154,7 @@
 export async function openLink(address: Address): Promise<TestLink> {
   const closings: number[] = [];
   const losses: string[] = [];
+  const resumes: number[] = [];
   const self = createNode('origin', {host: HOST, port: 1});
   const events: LinkEvents = {
     describeSelf: () => ({node: self, report: REPORT}),
@@ -161,6 +164,7 @@
     handleUp: () => undefined,
     handleDown: (_link, message) => losses.push(message),
     handleSilentLink: () => undefined,
+    handleResume: (_link, calls) => resumes.push(calls),
     handleClosing: (_link, calls) => closings.push(calls),
   };
   const node = createNode('peer', address);
@@ -171,7 +175,7 @@
     link.stop();
   };
   await waitFor(() => link.isOpen());
-  return {link, closings, losses, stop};
+  return {link, closings, losses, resumes, stop};
 }
 
 /** Sends a call and resolves with its result. */
--- a/packages/sidecar/src/connection/linkResume.test.ts
+++ b/packages/sidecar/src/connection/linkResume.test.ts
@@ -113,6 +113,7 @@
   expect(result).to.deep.equal(createResponse('r-1', 9));
   expect(node.received).to.have.lengthOf(1);
   expect(node.received[0]?.isCancelled).to.equal(false);
+  expect(link.resumes).to.deep.equal([1, 1]);
   await close();
 });
 
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -358,6 +358,7 @@
     }
     const pendingIds = this.pendingCalls.listIds();
     this.write({kind: FrameKind.RESUME, pendingIds});
+    this.events.handleResume(this, pendingIds.length);
   }
 
   private updateReport(report: NodeReport): void {
--- a/packages/sidecar/src/process/decisionLog.ts
+++ b/packages/sidecar/src/process/decisionLog.ts
@@ -28,6 +28,7 @@
   EventCode.LINK_UP,
   EventCode.LINK_DOWN,
   EventCode.LINK_CLOSING,
+  EventCode.LINK_RESUMED,
   EventCode.MEMBER_JOINED,
 ]);
 const PROCESS_CODES: ReadonlySet<EventCode> = new Set([
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -326,6 +326,13 @@
       });
     },
     handleSilentLink: () => this.parts.handleSilentLink(),
+    handleResume: (link, calls) => {
+      this.parts.record(EventCode.LINK_RESUMED, {
+        node: link.node.node,
+        service: link.node.service,
+        calls,
+      });
+    },
     handleClosing: (link, calls) => {
       this.parts.record(EventCode.LINK_CLOSING, {
         node: link.node.node,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -202,7 +202,7 @@
     'service',
   ),
   [EventCode.LINK_DOWN]: describe(
-    'A link to a node was lost; calls in flight on it are unknown.',
+    'A link to a node was lost; its calls are resumed or unknown.',
     'node',
     'service',
     'message',
@@ -217,6 +217,12 @@
     'service',
     'calls',
   ),
+  [EventCode.LINK_RESUMED]: describe(
+    'A node was asked on a new connection about calls of a lost one.',
+    'node',
+    'service',
+    'calls',
+  ),
   [EventCode.CONFIGURATION_ADOPTED]: describe(
     'A newer configuration was adopted.',
     'version',
