--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -190,12 +190,6 @@
 export const ROW_REMOVAL_MS = 60_000;
 /** Interval at which rows are checked for removal. */
 export const ROW_CHECK_INTERVAL_MS = 10_000;
-/**
- * Pause before the next long poll of the node list, so that each node reads
- * changes in quick succession at once. A new node dials the others, so they
- * know it before its row arrives.
- */
-export const NODE_LIST_POLL_DELAY_MS = 3_000;
 /**
  * Mean length of a long poll of the node list. It can be long: nodes learn of
  * each other over links, and the poll of the configuration detects dead
--- a/packages/sidecar/src/process/storeFollower.ts
+++ b/packages/sidecar/src/process/storeFollower.ts
@@ -28,7 +28,7 @@
   readonly handleAllRows: (rows: readonly StoredRow[], version: number) => void;
   readonly handleChangedRows: (rows: readonly StoredRow[]) => void;
   /** Pause after changes, so that several are read at once; ms. */
-  readonly pauseMs: number;
+  readonly choosePauseMs: (changesInARow: number) => number;
   /** Chooses the length of the next wait for changes, ms. */
   readonly chooseWaitMs: () => number;
   /** Called when a call to the store got no answer. */
@@ -41,6 +41,7 @@
   private isReachable = true;
   private version: number | undefined;
   private retryMs = STORE_RETRY_MIN_MS;
+  private changesInARow = 0;
   private abortController = new AbortController();
   private lastAnswerMs: number;
   private lastCallMs = 0;
@@ -106,9 +107,10 @@
     this.version = Math.max(version, this.version);
     if (rows.length > 0) this.parts.handleChangedRows(rows);
     if (isRelisting) await this.list();
-    else if (rows.length > 0 && this.parts.pauseMs > 0) {
-      await wait(this.parts.pauseMs);
-    }
+    this.changesInARow = rows.length > 0 ? this.changesInARow + 1 : 0;
+    if (this.changesInARow === 0 || isRelisting) return;
+    const pauseMs = this.parts.choosePauseMs(this.changesInARow);
+    if (pauseMs > 0) await wait(pauseMs);
   }
 
   private async list(): Promise<void> {
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -15,6 +15,7 @@
 import type {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
 import {
   chooseWatchMs,
+  computeListPauseMs,
   computeMeanWatchMs,
   isChosenToQuery,
 } from 'sycamoreyoke/process/watchTime';
@@ -30,7 +31,6 @@
 import {TOKENS, createContainer} from './container.js';
 import {
   GATE_QUEUE_LIMIT,
-  NODE_LIST_POLL_DELAY_MS,
   NODES_WATCH_MEAN_MS,
   ASSUMED_NODES,
 } from './constants.js';
@@ -265,7 +265,7 @@
     record,
     handleAllRows: (rows) => configuration.handleRows(rows),
     handleChangedRows: (rows) => configuration.handleRows(rows),
-    pauseMs: 0,
+    choosePauseMs: () => 0,
     chooseWaitMs: () =>
       chooseWatchMs(random, computeMeanWatchMs(fleet.list().length)),
     handleSilence: () => peers.probeAll(),
@@ -286,7 +286,8 @@
       crashes.handleRows(rows.filter(isCrashRow));
       fleet.handleChangedRows(rows.filter((row) => !isCrashRow(row)));
     },
-    pauseMs: NODE_LIST_POLL_DELAY_MS,
+    choosePauseMs: (changesInARow) =>
+      computeListPauseMs(fleet.list().length, changesInARow),
     chooseWaitMs: () => chooseWatchMs(random, NODES_WATCH_MEAN_MS),
     handleSilence: () => peers.probeAll(),
   });
--- a/packages/sycamoreyoke/src/process/watchTime.test.ts
+++ b/packages/sycamoreyoke/src/process/watchTime.test.ts
@@ -2,6 +2,7 @@
 import {createRandom} from '../random.js';
 import {
   chooseWatchMs,
+  computeListPauseMs,
   computeMeanWatchMs,
   isChosenToQuery,
 } from './watchTime.js';
@@ -37,3 +38,25 @@
   expect(countQuerying(17)).to.equal(17);
   expect(countQuerying(23_000)).to.be.within(8, 80);
 });
+
+/** Counts the reads of all nodes while the list changes all the time. */
+function countListReads(nodes: number, periodMs: number): number {
+  let reads = 0;
+  for (let passedMs = 0; passedMs < periodMs; reads += 1) {
+    passedMs += computeListPauseMs(nodes, reads + 1);
+  }
+  return reads * nodes;
+}
+
+// Guards against reads of the list that grow with the square of a deployment
+// whose nodes are restarted one after another.
+it('watch time: a list that keeps changing is read rarely in a large fleet', () => {
+  const periodMs = 60_000;
+  const small = countListReads(17, periodMs) / 17;
+  const large = countListReads(196, periodMs) / 196;
+  expect(small).to.equal(periodMs / 3_000);
+  expect(large).to.be.below(small / 2.5);
+  expect(computeListPauseMs(23_000, 99)).to.be.at.most(15_000);
+  // While all nodes start, a list that was read early is read again soon.
+  expect(computeListPauseMs(196, 1)).to.equal(3_000);
+});
--- a/packages/sycamoreyoke/src/process/watchTime.ts
+++ b/packages/sycamoreyoke/src/process/watchTime.ts
@@ -28,6 +28,27 @@
   return Math.round(meanMs * (1 - JITTER + 2 * JITTER * random()));
 }
 
+/** First pause between two reads of a list that keeps changing. */
+const MIN_LIST_PAUSE_MS = 3_000;
+/** Longest pause, and the share of it for each node of the deployment. */
+const MAX_LIST_PAUSE_MS = 15_000;
+const LIST_PAUSE_MS_PER_NODE = 75;
+
+/**
+ * Returns the pause before the next wait for changes of the node list, ms. Each
+ * change wakes the waits of all nodes, so the reads of a list that keeps
+ * changing would grow with the square of the deployment. The first pauses are
+ * short, since the list is incomplete while all nodes start.
+ */
+export function computeListPauseMs(
+  nodes: number,
+  changesInARow: number,
+): number {
+  const longestMs = Math.max(MIN_LIST_PAUSE_MS, nodes * LIST_PAUSE_MS_PER_NODE);
+  const growingMs = MIN_LIST_PAUSE_MS * 2 ** Math.max(0, changesInARow - 1);
+  return Math.min(growingMs, longestMs, MAX_LIST_PAUSE_MS);
+}
+
 /** Mean number of nodes that query the store when all see silent links. */
 const QUERYING_NODES = 32;
 
