--- a/packages/sidecar/src/connection/linkEvents.ts
+++ b/packages/sidecar/src/connection/linkEvents.ts
@@ -5,6 +5,8 @@
 
 /** Callbacks of a link. */
 export interface LinkEvents {
+  /** Called when bytes of the node are read, before they are handled. */
+  readonly handleActivity: () => void;
   readonly describeSelf: () => {node: NodeRecord; report: NodeReport};
   handleReport(link: PeerLink, report: NodeReport): void;
   /** Called with the node that answered, which may not be the expected one. */
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -158,6 +158,7 @@
   const self = createNode('origin', {host: HOST, port: 1});
   const events: LinkEvents = {
     describeSelf: () => ({node: self, report: REPORT}),
+    handleActivity: () => undefined,
     handleReport: () => undefined,
     handleHello: () => undefined,
     handleFrame: () => undefined,
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -196,6 +196,7 @@
     });
     socket.on('connect', () => this.sendHello(socket, session));
     socket.on('data', (chunk) => {
+      this.events.handleActivity();
       // Part of a large frame on a slow link also shows that it is alive.
       if (this.socket === socket) this.recordActivity();
       try {
--- a/packages/sidecar/src/process/loopWatch.test.ts
+++ b/packages/sidecar/src/process/loopWatch.test.ts
@@ -30,13 +30,19 @@
 it('loop: a busy loop counts from the start of its last turn', () => {
   const loop = new TestLoop();
   loop.startTurn(5);
-  const lastTurnMs = loop.watch.findEarliestArrivalMs();
+  const lastTurnMs = loop.clock.readMs();
+  // Other work comes first in the turn; bytes may arrive during it too.
+  loop.clock.advance(80);
+  loop.watch.findEarliestArrivalMs();
   loop.clock.advance(LOOP_TICK_MS);
   // The system call that reads events at once takes a moment too.
   loop.startTurn(0.05);
   expect(loop.watch.findEarliestArrivalMs()).to.equal(lastTurnMs);
   loop.clock.advance(300);
   expect(loop.watch.findEarliestArrivalMs()).to.equal(lastTurnMs);
+  const readMs = loop.clock.readMs() - 300;
+  loop.startTurn(0.05);
+  expect(loop.watch.findEarliestArrivalMs()).to.be.closeTo(readMs, 1);
 });
 
 // Guards against time that an idle process spent waiting being taken off the
@@ -46,7 +52,7 @@
   loop.startTurn(5);
   loop.watch.findEarliestArrivalMs();
   loop.startTurn(LOOP_TICK_MS);
-  loop.watch.tick();
+  loop.watch.observe();
   loop.startTurn(100);
   const nowMs = loop.clock.readMs();
   expect(loop.watch.findEarliestArrivalMs()).to.equal(nowMs);
@@ -57,7 +63,8 @@
 it('loop: after a pause bytes may be as old as the last turn', () => {
   const loop = new TestLoop();
   loop.startTurn(5);
-  const lastSeenMs = loop.watch.findEarliestArrivalMs();
+  const lastSeenMs = loop.clock.readMs();
+  loop.watch.findEarliestArrivalMs();
   loop.startTurn(3_000);
   expect(loop.watch.findEarliestArrivalMs()).to.equal(lastSeenMs);
 });
--- a/packages/sidecar/src/process/loopWatch.ts
+++ b/packages/sidecar/src/process/loopWatch.ts
@@ -21,54 +21,67 @@
   readonly runAfterTurn: (callback: () => void) => void;
 }
 
+/** A moment at which a turn of the loop ended. */
+interface TurnEnd {
+  readonly endMs: number;
+  /** Total idle time of the loop by then, ms. */
+  readonly idleMs: number;
+}
+
 /**
  * Tells when bytes that are handled now may have arrived. A loop that has been
  * idle since its last turn handles bytes at once; bytes that a busy loop reads
- * may have arrived at any time since its last turn began, and bytes that a
- * paused process reads since it last ran.
+ * may have arrived at any time since it last read, and bytes that a paused
+ * process reads since it last ran. Turns that nobody observes count as part of
+ * the next one.
  */
 export class LoopWatch {
   private isInTurn = false;
-  private turnStartMs: number;
   private lastSeenMs: number;
-  private lastIdleMs: number;
+  private lastEnd: TurnEnd;
+  /** When the loop read the sockets for the turn that ended last. */
+  private lastReadMs: number;
   private earliestArrivalMs: number;
 
   constructor(private readonly parts: LoopWatchParts) {
-    this.turnStartMs = parts.clock.readMs();
-    this.lastSeenMs = this.turnStartMs;
-    this.earliestArrivalMs = this.turnStartMs;
-    this.lastIdleMs = parts.readIdleMs();
+    this.lastEnd = this.readTurnEnd();
+    this.lastSeenMs = this.lastEnd.endMs;
+    this.lastReadMs = this.lastEnd.endMs;
+    this.earliestArrivalMs = this.lastEnd.endMs;
   }
 
-  /** Records that the loop runs; called by a timer of LOOP_TICK_MS. */
-  tick(): void {
-    this.observeTurn();
+  /**
+   * Records that the loop runs; called by a timer of LOOP_TICK_MS, and when
+   * bytes of other nodes are read.
+   */
+  observe(): void {
+    const nowMs = this.parts.clock.readMs();
+    if (!this.isInTurn) this.startTurn(nowMs);
+    this.lastSeenMs = nowMs;
   }
 
   /** Returns the earliest time at which the bytes read now can have arrived. */
   findEarliestArrivalMs(): number {
-    this.observeTurn();
+    this.observe();
     return this.earliestArrivalMs;
   }
 
-  private observeTurn(): void {
-    const nowMs = this.parts.clock.readMs();
-    if (!this.isInTurn) this.startTurn(nowMs);
-    this.lastSeenMs = nowMs;
-  }
-
   private startTurn(nowMs: number): void {
     this.isInTurn = true;
+    const idleMs = this.parts.readIdleMs() - this.lastEnd.idleMs;
+    const readMs = Math.min(nowMs, this.lastEnd.endMs + idleMs);
+    const wasPaused = nowMs - this.lastSeenMs > MAX_UNSEEN_MS;
+    const isPrompt = idleMs >= MIN_IDLE_MS && !wasPaused;
+    this.earliestArrivalMs = isPrompt ? readMs : this.lastReadMs;
     this.parts.runAfterTurn(() => {
       this.isInTurn = false;
+      this.lastReadMs = readMs;
+      this.lastEnd = this.readTurnEnd();
     });
-    const idleMs = this.parts.readIdleMs();
-    const hasIdled = idleMs - this.lastIdleMs >= MIN_IDLE_MS;
-    const wasPaused = nowMs - this.lastSeenMs > MAX_UNSEEN_MS;
-    const isPrompt = hasIdled && !wasPaused;
-    this.earliestArrivalMs = isPrompt ? nowMs : this.turnStartMs;
-    this.lastIdleMs = idleMs;
-    this.turnStartMs = nowMs;
+  }
+
+  private readTurnEnd(): TurnEnd {
+    const {clock, readIdleMs} = this.parts;
+    return {endMs: clock.readMs(), idleMs: readIdleMs()};
   }
 }
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -64,6 +64,7 @@
     handleNode: () => undefined,
     handleReplacedNode: () => undefined,
     needsNodes: () => false,
+    handleActivity: () => undefined,
     listSuspects: () => [],
     handleSuspects: () => undefined,
     frameBudget: createFrameBudget(),
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -59,6 +59,8 @@
   readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
   /** Whether to ask peers for the node list, as the store is unreachable. */
   readonly needsNodes: () => boolean;
+  /** Called when bytes of a node are read. */
+  readonly handleActivity: () => void;
   /** Limits the bytes of incomplete frames of all links together. */
   readonly frameBudget: ByteBudget<FrameReader>;
 }
@@ -287,6 +289,7 @@
   }
 
   private readonly events: LinkEvents = {
+    handleActivity: () => this.parts.handleActivity(),
     describeSelf: () => ({
       node: this.parts.self,
       report: this.parts.describeReport(),
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -51,7 +51,7 @@
       const lost = parts.peers.listUnreachable(ROW_REMOVAL_MS);
       if (lost.size > 0) void parts.fleet.removeUnreachable(lost);
     }, ROW_CHECK_INTERVAL_MS);
-    this.loopTimer = setInterval(() => parts.loop.tick(), LOOP_TICK_MS);
+    this.loopTimer = setInterval(() => parts.loop.observe(), LOOP_TICK_MS);
     this.watchStart();
     record(EventCode.NODE_STARTED, {
       service: settings.service,
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -204,6 +204,11 @@
     load: describeOwnLoad(),
   });
   const frameBudget = new ByteBudget<FrameReader>(memory.frames);
+  const loop = new LoopWatch({
+    clock,
+    readIdleMs: readLoopIdleMs,
+    runAfterTurn,
+  });
   const peers: PeerTask = new PeerTask({
     self,
     clock,
@@ -224,6 +229,7 @@
     listSuspects: () => crashes.listSuspects(),
     handleSuspects: (suspects) => crashes.merge(suspects),
     needsNodes: () => !nodeFollower.hasContact(),
+    handleActivity: () => loop.observe(),
     frameBudget,
   });
   const fleet: FleetTask = new FleetTask({
@@ -234,11 +240,6 @@
     decodeNode: adapter.decodeNode,
     handleChange: (nodes) => peers.update(nodes),
   });
-  const loop = new LoopWatch({
-    clock,
-    readIdleMs: readLoopIdleMs,
-    runAfterTurn,
-  });
   const peerServer: PeerServer = new PeerServer({
     clock,
     findEarliestArrivalMs: () => loop.findEarliestArrivalMs(),
