--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -164,6 +164,7 @@
   harness.exchanges[2]?.answer({status: 203, headers: [], body: BODY});
   first?.answer({status: 201, headers: [], body: BODY});
   await waitUntil(() => harness.listener.countOpen() === 0);
+  await waitUntil(() => harness.read().includes(' 203 '));
   expect(harness.cuts).to.deep.equal([false, false, false]);
   expect(harness.read()).to.match(/ 201 [^]* 413 [^]* 203 /);
   closeHarness(harness);
