--- a/packages/sidecar/src/process/memoryLimits.ts
+++ b/packages/sidecar/src/process/memoryLimits.ts
@@ -10,7 +10,7 @@
  * assembled, encoded and written.
  */
 const RESPONSES_SHARE = 0.25;
-const FRAMES_SHARE = 0.25;
+const FRAMES_SHARE = 0.4;
 const CLIENT_OUTPUT_SHARE = 0.25;
 const LINK_OUTPUT_SHARE = 0.15;
 
