--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -191,6 +191,11 @@
     return {...report, load: {...report.load, isAvailable: false}};
   }
 
+  /** Ends the link, unless it has resumed calls meanwhile. */
+  private endWithoutCalls(): void {
+    if (this.session.countRunning() === 0) this.end();
+  }
+
   private end(): void {
     if (this.phase === LinkPhase.ENDED) return;
     if (this.peerRevision >= GOODBYE_REVISION) {
@@ -321,7 +326,7 @@
     if (this.session.countRunning() > 0) return;
     if (this.peerRevision >= GOODBYE_REVISION) this.end();
     // Without GOODBYE, calls already on their way must be read and refused.
-    else setTimeout(() => this.end(), CLOSING_REFUSAL_MS);
+    else setTimeout(() => this.endWithoutCalls(), CLOSING_REFUSAL_MS);
   }
 
   sendResult(id: number, result: CallResult): void {
--- a/packages/sidecar/src/connection/linkResume.test.ts
+++ b/packages/sidecar/src/connection/linkResume.test.ts
@@ -4,6 +4,7 @@
 import {VirtualClock} from 'sycamoreyoke/clock';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
+  CLOSING_REFUSAL_MS,
   LINK_TICK_MS,
   PING_MS,
   PING_TIMEOUT_MS,
@@ -17,6 +18,7 @@
   HOST,
   REPORT,
   createCall,
+  createFrameReader,
   createNode,
   createResponse,
   openLink,
@@ -26,6 +28,7 @@
   waitFor,
 } from './linkHarness.test.js';
 import {LinkSession} from './linkSession.js';
+import type {Frame} from './frame.js';
 import {FRAME_REVISION, FrameKind, GOODBYE_REVISION} from './frame.js';
 import {encodeFrame} from './peerFrames.js';
 import {ResultRetention} from './resultRetention.js';
@@ -283,6 +286,114 @@
   for (const socket of sockets) socket.destroy();
 });
 
+/** Opens a peer of which the test writes the frames. */
+async function openRawPeer() {
+  const sockets: Socket[] = [];
+  const frames: Frame[] = [];
+  const {address, server} = await openRawServer((socket) => {
+    sockets.push(socket);
+    const reader = createFrameReader((frame) => frames.push(frame));
+    socket.on('error', () => socket.destroy());
+    socket.on('data', (chunk) => reader.add(chunk));
+    socket.write(encodeFrame(createHello()));
+  });
+  const close = () => {
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  };
+  return {address, server, sockets, frames, close};
+}
+
+function createHello(session?: string): Frame {
+  return {
+    kind: FrameKind.HELLO,
+    node: createNode('peer', {host: HOST, port: 1}),
+    report: REPORT,
+    revision: FRAME_REVISION,
+    session,
+  };
+}
+
+// Guards against taking the GOODBYE of a stopping node for "not run" while it
+// has not told yet what became of the calls of a lost connection.
+it('resume: a goodbye before the answer leaves calls unknown', async () => {
+  const peer = await openRawPeer();
+  const link = await openLink(peer.address);
+  const sending = sendCall(link, createCall('r-1'));
+  await waitFor(() => peer.frames.some(({kind}) => kind === FrameKind.CALL));
+  peer.sockets[0]?.resetAndDestroy();
+  await waitFor(() => peer.frames.some(({kind}) => kind === FrameKind.RESUME));
+  peer.sockets[1]?.write(encodeFrame({kind: FrameKind.GOODBYE}));
+  expect((await sending).end).to.equal(SendEnd.LOST);
+  link.stop();
+  peer.close();
+});
+
+// Guards against giving up the calls of a connection that is only slow, because
+// a stopping node accepts no other one.
+it('resume: a refused replacement leaves the connection as it is', async () => {
+  const peer = await openRawPeer();
+  const link = await openLink(peer.address);
+  const sending = new Promise<CallResult>((resolve) =>
+    link.link.send(createCall('r-1'), resolve, 20),
+  );
+  peer.server.close();
+  await waitFor(() => peer.frames.some(({kind}) => kind === FrameKind.PING));
+  await new Promise((resolve) =>
+    setTimeout(resolve, REPLACE_MS + 3 * LINK_TICK_MS),
+  );
+  const result = createResponse('r-1');
+  const frame = {
+    kind: FrameKind.RESULT,
+    id: 1,
+    result,
+    report: REPORT,
+  } as const;
+  peer.sockets[0]?.write(encodeFrame(frame));
+  expect((await sending).end).to.equal(SendEnd.RESPONSE);
+  link.stop();
+  peer.close();
+});
+
+// Guards against a stopping node that says goodbye, which means "not run", while
+// it runs a call that was resumed on a link that is about to be closed.
+it('resume: a closing link waits for the calls that it resumes', async () => {
+  const node = await openNode('peer');
+  const open = () => {
+    const socket = connect(node.address);
+    const frames: Frame[] = [];
+    const reader = createFrameReader((frame) => frames.push(frame));
+    socket.on('data', (chunk) => reader.add(chunk));
+    return {socket, frames};
+  };
+  const first = open();
+  const call = createCall('r-1');
+  const callFrame = {
+    kind: FrameKind.CALL,
+    id: 1,
+    call,
+    sentMs: undefined,
+  } as const;
+  first.socket.write(encodeFrame(createHello('s')));
+  first.socket.write(encodeFrame(callFrame));
+  await waitFor(() => node.received.length === 1);
+  first.socket.resetAndDestroy();
+  const second = open();
+  await new Promise((resolve) => second.socket.once('connect', resolve));
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  const closing = node.server.close(5_000);
+  second.socket.write(encodeFrame(createHello('s')));
+  second.socket.write(encodeFrame({kind: FrameKind.RESUME, pendingIds: [1]}));
+  await new Promise((resolve) => setTimeout(resolve, 2 * CLOSING_REFUSAL_MS));
+  node.received[0]?.settle(createResponse('r-1'));
+  await closing;
+  const kinds = second.frames.map(({kind}) => kind);
+  expect(kinds).to.include(FrameKind.RESULT);
+  expect(kinds.indexOf(FrameKind.GOODBYE)).to.be.above(
+    kinds.indexOf(FrameKind.RESULT),
+  );
+});
+
 interface SessionTrial {
   readonly clock: VirtualClock;
   readonly session: LinkSession;
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -213,10 +213,11 @@
       this.handleEnd(socket, 'node ended the link');
     });
     socket.on('error', (error: NodeJS.ErrnoException) => {
+      const isDialled = this.socket === socket && !this.isUp;
       this.handleEnd(socket, error.message);
-      // The process that had the calls is gone.
-      const hasNoListener = error.code === 'ECONNREFUSED';
-      if (hasNoListener) this.pendingCalls.settleAll(createLoss());
+      // The process that had the calls is gone, or is stopping.
+      if (isDialled && error.code === 'ECONNREFUSED')
+        this.pendingCalls.settleAll(createLoss());
     });
     socket.on('close', () => {
       reader.close();
--- a/packages/sidecar/src/connection/pendingCalls.ts
+++ b/packages/sidecar/src/connection/pendingCalls.ts
@@ -17,6 +17,8 @@
  */
 export class PendingCalls {
   private readonly entries = new Map<number, PendingEntry>();
+  /** Calls of a lost connection that the gate has not been asked about. */
+  private uncertainIds: ReadonlySet<number> = new Set();
   private timers: readonly NodeJS.Timeout[] = [];
 
   count(): number {
@@ -51,12 +53,18 @@
     entry?.handle(result);
   }
 
-  /** Ends all calls with the same result. */
+  /**
+   * Ends all calls with a result that applies to those of this connection; the
+   * calls of a lost one may have run.
+   */
   settleAll(result: CallResult): void {
+    const {uncertainIds} = this;
     this.stopWaiting();
-    const entries = [...this.entries.values()];
+    const entries = [...this.entries];
     this.entries.clear();
-    for (const {handle} of entries) handle(result);
+    for (const [id, {handle}] of entries) {
+      handle(uncertainIds.has(id) ? createLoss() : result);
+    }
   }
 
   /**
@@ -64,7 +72,9 @@
    * often the link is lost meanwhile.
    */
   startWaiting(handleExpiry: () => void): void {
-    if (this.timers.length > 0 || this.entries.size === 0) return;
+    if (this.entries.size === 0) return;
+    this.uncertainIds = new Set(this.entries.keys());
+    if (this.timers.length > 0) return;
     const expire = (isDue: (entry: PendingEntry) => boolean) => {
       for (const [id, entry] of [...this.entries]) {
         if (isDue(entry)) this.settle(id, createLoss());
@@ -84,5 +94,6 @@
   stopWaiting(): void {
     for (const timer of this.timers) clearTimeout(timer);
     this.timers = [];
+    this.uncertainIds = new Set();
   }
 }
