--- a/packages/sidecar/src/connection/linkResume.test.ts
+++ b/packages/sidecar/src/connection/linkResume.test.ts
@@ -1,7 +1,6 @@
 import type {Server, Socket} from 'node:net';
 import {connect} from 'node:net';
 import {expect} from 'chai';
-import {VirtualClock} from 'sycamoreyoke/clock';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   CLOSING_REFUSAL_MS,
@@ -9,10 +8,8 @@
   PING_MS,
   PING_TIMEOUT_MS,
   REPLACE_MS,
-  RETAINED_RESULT_BYTES,
-  RETAINED_RESULT_MS,
 } from '../constants.js';
-import type {Address, CallResult, PendingCall} from '../types.js';
+import type {Address, CallResult} from '../types.js';
 import type {TestLink, TestNode} from './linkHarness.test.js';
 import {
   HOST,
@@ -27,11 +24,9 @@
   sendCall,
   waitFor,
 } from './linkHarness.test.js';
-import {LinkSession} from './linkSession.js';
 import type {Frame} from './frame.js';
 import {FRAME_REVISION, FrameKind, GOODBYE_REVISION} from './frame.js';
 import {encodeFrame} from './peerFrames.js';
-import {ResultRetention} from './resultRetention.js';
 
 /** A proxy whose open connections a test resets or silences. */
 interface CuttableProxy {
@@ -101,6 +96,42 @@
   return {node, proxy, link, close};
 }
 
+/** Fields of the HELLO of a peer; the incarnation may differ by its starts. */
+interface PeerHello {
+  readonly revision?: number;
+  readonly session?: string;
+  readonly incarnation?: string;
+}
+
+function createHello({
+  revision = FRAME_REVISION,
+  session,
+  incarnation = 'start-1',
+}: PeerHello = {}): Frame {
+  const node = {...createNode('peer', {host: HOST, port: 1}), incarnation};
+  return {kind: FrameKind.HELLO, node, report: REPORT, revision, session};
+}
+
+/** Opens a peer of which the test writes the frames behind its HELLO. */
+async function openRawPeer(
+  describeHello: (starts: number) => PeerHello = () => ({}),
+) {
+  const sockets: Socket[] = [];
+  const frames: Frame[] = [];
+  const {address, server} = await openRawServer((socket) => {
+    sockets.push(socket);
+    const reader = createFrameReader((frame) => frames.push(frame));
+    socket.on('error', () => socket.destroy());
+    socket.on('data', (chunk) => reader.add(chunk));
+    socket.write(encodeFrame(createHello(describeHello(sockets.length))));
+  });
+  const close = () => {
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  };
+  return {address, server, sockets, frames, close};
+}
+
 // Guards against a result that is lost with its connection: the origin answers
 // "unknown" for a booking that has run and ended well.
 it('resume: a call that runs while its link is reset gets its result', async () => {
@@ -194,60 +225,29 @@
 // Guards against calls that wait for a process that has been restarted, and
 // against taking its answers for those of the former process.
 it('resume: calls of a restarted node are lost', async () => {
-  const sockets: Socket[] = [];
-  let starts = 0;
-  const resumes: number[] = [];
-  const {address, server} = await openRawServer((socket) => {
-    sockets.push(socket);
-    starts += 1;
-    socket.on('error', () => socket.destroy());
-    socket.on('data', () => resumes.push(starts));
-    socket.write(
-      encodeFrame({
-        kind: FrameKind.HELLO,
-        node: {
-          ...createNode('peer', {host: HOST, port: 1}),
-          incarnation: `start-${starts}`,
-        },
-        report: REPORT,
-        revision: 2,
-      }),
-    );
-  });
-  const link = await openLink(address);
+  const peer = await openRawPeer((starts) => ({
+    incarnation: `start-${starts}`,
+  }));
+  const link = await openLink(peer.address);
   const sending = sendCall(link, createCall('r-1'));
-  await waitFor(() => resumes.length > 0);
-  sockets[0]?.resetAndDestroy();
+  await waitFor(() => peer.frames.some(({kind}) => kind === FrameKind.CALL));
+  peer.sockets[0]?.resetAndDestroy();
   expect((await sending).end).to.equal(SendEnd.LOST);
-  expect(starts).to.equal(2);
+  expect(peer.sockets).to.have.lengthOf(2);
   link.stop();
-  for (const socket of sockets) socket.destroy();
-  server.close();
+  peer.close();
 });
 
 // Guards against waiting for a node of a version that cannot be asked.
 it('resume: calls to an earlier version are lost at once', async () => {
-  const sockets: Socket[] = [];
-  const {address, server} = await openRawServer((socket) => {
-    sockets.push(socket);
-    socket.on('error', () => socket.destroy());
-    socket.write(
-      encodeFrame({
-        kind: FrameKind.HELLO,
-        node: createNode('peer', {host: HOST, port: 1}),
-        report: REPORT,
-        revision: GOODBYE_REVISION,
-      }),
-    );
-  });
-  const link = await openLink(address);
+  const peer = await openRawPeer(() => ({revision: GOODBYE_REVISION}));
+  const link = await openLink(peer.address);
   const sending = sendCall(link, createCall('r-1'));
-  sockets[0]?.resetAndDestroy();
+  peer.sockets[0]?.resetAndDestroy();
   expect((await sending).end).to.equal(SendEnd.LOST);
-  expect(sockets).to.have.lengthOf(1);
+  expect(peer.sockets).to.have.lengthOf(1);
   link.stop();
-  for (const socket of sockets) socket.destroy();
-  server.close();
+  peer.close();
 });
 
 // Guards against calls of an origin that is gone for good, which run on.
@@ -262,58 +262,18 @@
 
 // Guards against calls that wait for a process that has ended.
 it('resume: calls are lost at once if nothing listens any more', async () => {
-  const sockets: Socket[] = [];
-  const {address, server} = await openRawServer((socket) => {
-    sockets.push(socket);
-    socket.on('error', () => socket.destroy());
-    socket.write(
-      encodeFrame({
-        kind: FrameKind.HELLO,
-        node: createNode('peer', {host: HOST, port: 1}),
-        report: REPORT,
-        revision: FRAME_REVISION,
-      }),
-    );
-  });
-  const link = await openLink(address);
+  const peer = await openRawPeer();
+  const link = await openLink(peer.address);
   const sending = sendCall(link, createCall('r-1'));
-  server.close();
+  peer.server.close();
   const startedMs = performance.now();
-  sockets[0]?.end();
+  peer.sockets[0]?.end();
   expect((await sending).end).to.equal(SendEnd.LOST);
   expect(performance.now() - startedMs).to.be.lessThan(PING_MS);
   link.stop();
-  for (const socket of sockets) socket.destroy();
+  peer.close();
 });
 
-/** Opens a peer of which the test writes the frames. */
-async function openRawPeer() {
-  const sockets: Socket[] = [];
-  const frames: Frame[] = [];
-  const {address, server} = await openRawServer((socket) => {
-    sockets.push(socket);
-    const reader = createFrameReader((frame) => frames.push(frame));
-    socket.on('error', () => socket.destroy());
-    socket.on('data', (chunk) => reader.add(chunk));
-    socket.write(encodeFrame(createHello()));
-  });
-  const close = () => {
-    server.close();
-    for (const socket of sockets) socket.destroy();
-  };
-  return {address, server, sockets, frames, close};
-}
-
-function createHello(session?: string): Frame {
-  return {
-    kind: FrameKind.HELLO,
-    node: createNode('peer', {host: HOST, port: 1}),
-    report: REPORT,
-    revision: FRAME_REVISION,
-    session,
-  };
-}
-
 // Guards against taking the GOODBYE of a stopping node for "not run" while it
 // has not told yet what became of the calls of a lost connection.
 it('resume: a goodbye before the answer leaves calls unknown', async () => {
@@ -374,7 +334,7 @@
     call,
     sentMs: undefined,
   } as const;
-  first.socket.write(encodeFrame(createHello('s')));
+  first.socket.write(encodeFrame(createHello({session: 's'})));
   first.socket.write(encodeFrame(callFrame));
   await waitFor(() => node.received.length === 1);
   first.socket.resetAndDestroy();
@@ -382,7 +342,7 @@
   await new Promise((resolve) => second.socket.once('connect', resolve));
   await new Promise((resolve) => setTimeout(resolve, 20));
   const closing = node.server.close(5_000);
-  second.socket.write(encodeFrame(createHello('s')));
+  second.socket.write(encodeFrame(createHello({session: 's'})));
   second.socket.write(encodeFrame({kind: FrameKind.RESUME, pendingIds: [1]}));
   await new Promise((resolve) => setTimeout(resolve, 2 * CLOSING_REFUSAL_MS));
   node.received[0]?.settle(createResponse('r-1'));
@@ -393,57 +353,3 @@
     kinds.indexOf(FrameKind.RESULT),
   );
 });
-
-interface SessionTrial {
-  readonly clock: VirtualClock;
-  readonly session: LinkSession;
-  readonly sent: Array<readonly [number, CallResult]>;
-}
-
-function createSession(): SessionTrial {
-  const clock = new VirtualClock();
-  const session = new LinkSession(new ResultRetention(clock));
-  const sent: Array<readonly [number, CallResult]> = [];
-  session.link = {
-    sendResult: (id, result) => void sent.push([id, result]),
-    handleCallEnd: () => undefined,
-    disconnect: () => undefined,
-  };
-  return {clock, session, sent};
-}
-
-const RUNNING: PendingCall = {cancel: () => undefined};
-
-// Guards against calling a call "not run" whose result the gate has dropped.
-it('session: a forgotten result is unknown, not "not run"', () => {
-  const {clock, session, sent} = createSession();
-  session.settle(1, createResponse('old'));
-  clock.advance(RETAINED_RESULT_MS + 1);
-  session.settle(2, createResponse('acknowledged'));
-  session.removeAcknowledged([2]);
-  session.settle(3, createResponse('kept'));
-  session.add(4, RUNNING);
-  sent.length = 0;
-  session.resume([1, 2, 3, 4, 5]);
-  const ends = sent.map(([id, {end}]) => [id, end]);
-  expect(ends).to.deep.equal([
-    [1, SendEnd.LOST],
-    [2, SendEnd.LOST],
-    [3, SendEnd.RESPONSE],
-    [5, SendEnd.REFUSED_BY_GATE],
-  ]);
-});
-
-// Guards against results of origins that never ask and fill the memory.
-it('session: kept results are bounded by their size', () => {
-  const {session, sent} = createSession();
-  const bytes = RETAINED_RESULT_BYTES / 8;
-  const ids = Array.from({length: 40}, (_, index) => index + 1);
-  for (const id of ids) session.settle(id, createResponse(`r-${id}`, bytes));
-  session.settle(41, createResponse('large', RETAINED_RESULT_BYTES));
-  sent.length = 0;
-  session.resume([...ids, 41]);
-  const kept = sent.filter(([, {end}]) => end === SendEnd.RESPONSE);
-  expect(kept.length).to.be.within(1, 8);
-  expect(kept.at(-1)?.[0]).to.equal(40);
-});
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -4,7 +4,6 @@
 import {connect} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
-import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   AVOID_MS,
   CLOSING_SILENCE_MS,
@@ -27,12 +26,11 @@
   PendingCall,
   ResultHandler,
 } from '../types.js';
-import {GateReason} from '../types.js';
 import {runAfterNextRead} from '../process/eventLoop.js';
 import {
   createClosingRefusal,
-  createFailure,
   createLoss,
+  createNonArrival,
 } from './callFailure.js';
 import type {ByteBudget} from './byteBudget.js';
 import {PendingCalls} from './pendingCalls.js';
@@ -101,7 +99,7 @@
   ): PendingCall {
     const {socket} = this;
     if (!socket || !this.isUp) {
-      handle(createFailure(SendEnd.REFUSED_BY_GATE, GateReason.LINK_LOST));
+      handle(createNonArrival());
       return {cancel: () => undefined};
     }
     const id = this.nextId++;
