--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -97,6 +97,12 @@
  * an earlier one; most responses take less.
  */
 export const AMBIGUOUS_REFUSAL_MS = 1_000;
+/**
+ * Time to wait on a new connection behind a refusal without an id. It is the
+ * last thing that an upstream sends for a request, so a response that follows
+ * shows that the refusal was not meant.
+ */
+export const UNNAMED_REFUSAL_MS = 40;
 /**
  * Share of the announced keep-alive timeout in which connections are reused.
  */
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -10,6 +10,7 @@
 import type {UpstreamPool} from '../connection/upstreamPool.js';
 import {
   AMBIGUOUS_REFUSAL_MS,
+  UNNAMED_REFUSAL_MS,
   UPSTREAM_IDLE_MS,
   UPSTREAM_NON_IDEMPOTENT_IDLE_MS,
 } from '../constants.js';
@@ -17,6 +18,7 @@
   CallResult,
   HeaderList,
   OutgoingCall,
+  UpstreamHead,
   WireProtocol,
 } from '../types.js';
 import {GateReason} from '../types.js';
@@ -58,8 +60,10 @@
 export class UpstreamRun {
   private connection: UpstreamConnection | undefined;
   private timer: NodeJS.Timeout | undefined;
-  /** Set after a refusal that may belong to an earlier request. */
+  /** Set after a refusal that may not be meant for this request. */
   private ambiguousRefusalTimer: NodeJS.Timeout | undefined;
+  /** Set while a refusal counts if nothing follows it on the connection. */
+  private pendingRefusal: UpstreamHead | undefined;
   private isEnded = false;
   private isResent = false;
 
@@ -137,19 +141,38 @@
     isReused: boolean,
   ): ResponseOwner {
     const {call, wire} = this.parts;
-    const {requestId, isNotRun} = wire.readUpstreamHead(status, headers);
+    const head = wire.readUpstreamHead(status, headers);
+    const {requestId, isNotRun} = head;
     if (requestId !== undefined && requestId !== call.requestId) {
       return ResponseOwner.ANOTHER_REQUEST;
     }
-    if (!isNotRun) return ResponseOwner.THIS_REQUEST;
-    if (requestId === undefined && isReused && !call.isIdempotent) {
-      this.ambiguousRefusalTimer ??= setTimeout(
-        () => this.endAmbiguous(),
-        AMBIGUOUS_REFUSAL_MS,
-      );
-      return ResponseOwner.UNCLEAR;
+    if (!isNotRun) {
+      if (this.pendingRefusal) clearTimeout(this.ambiguousRefusalTimer);
+      this.pendingRefusal = undefined;
+      return ResponseOwner.THIS_REQUEST;
     }
-    return ResponseOwner.THIS_REFUSED;
+    if (requestId !== undefined || call.isIdempotent) {
+      return ResponseOwner.THIS_REFUSED;
+    }
+    if (!isReused) this.pendingRefusal ??= head;
+    this.ambiguousRefusalTimer ??= setTimeout(
+      () => (isReused ? this.endAmbiguous() : this.endRefused()),
+      isReused ? AMBIGUOUS_REFUSAL_MS : UNNAMED_REFUSAL_MS,
+    );
+    return ResponseOwner.UNCLEAR;
+  }
+
+  /** Believes a refusal behind which nothing has followed. */
+  private endRefused(): void {
+    if (!this.pendingRefusal) return;
+    this.end(Completion.SHED_BY_UPSTREAM, {
+      result: createFailure(
+        SendEnd.REFUSED_BY_UPSTREAM,
+        GateReason.UPSTREAM_REFUSED,
+      ),
+      isOtherInstance: this.pendingRefusal.isOtherInstance,
+    });
+    this.connection?.close('a refusal without an id ends its connection');
   }
 
   private endAmbiguous(): void {
@@ -166,7 +189,12 @@
   }
 
   private finishExchange(exchange: ExchangeResult): void {
-    if (exchange.end === ExchangeEnd.RESPONSE) {
+    const isEnd =
+      exchange.end === ExchangeEnd.LOST &&
+      exchange.reason === GateReason.CONNECTION_LOST;
+    if (isEnd && this.pendingRefusal) {
+      this.endRefused();
+    } else if (exchange.end === ExchangeEnd.RESPONSE) {
       this.finishResponse(exchange.status, exchange.headers, exchange.body);
     } else if (exchange.end === ExchangeEnd.NOT_SENT) {
       this.finishUnsent(exchange);
