--- a/packages/sycamoreyoke/src/process/upstreamPresence.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.ts
@@ -35,7 +35,10 @@
   readonly sequence: number;
   readonly lastHeartbeatMs: number;
   readonly coldUntilMs: number;
-  /** Time at which the node learned that the upstream is draining, ms. */
+  /**
+   * Time at which the node learned that the upstream is draining, ms; -Infinity
+   * if it was draining when the node first heard of it.
+   */
   readonly drainingSinceMs: number | undefined;
 }
 
@@ -60,7 +63,12 @@
   /** Applies a heartbeat and returns what it changed. */
   observe(heartbeat: UpstreamHeartbeat): PresenceChange {
     const known = this.current;
-    if (!known || isNewer(heartbeat, known)) {
+    if (!known) {
+      // A former process may have acknowledged the leaving long ago.
+      this.store(heartbeat, heartbeat.isDraining ? -Infinity : undefined);
+      return PresenceChange.STARTED;
+    }
+    if (isNewer(heartbeat, known)) {
       this.store(heartbeat, undefined);
       return PresenceChange.STARTED;
     }
