--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -57,6 +57,11 @@
   while (!isReached()) await new Promise((resolve) => setTimeout(resolve, 5));
 }
 
+/** Counts the answers that the client has read. */
+function countWhole({read}: Harness): number {
+  return read().match(/whole/g)?.length ?? 0;
+}
+
 function closeHarness({client, listener}: Harness): void {
   client.destroy();
   void listener.stopAccepting();
@@ -230,6 +235,7 @@
     harness.exchanges[index]?.answer({status: 200, headers: [], body: BODY});
   }
   await waitUntil(() => harness.listener.countOpen() === 0);
+  await waitUntil(() => countWhole(harness) >= count);
   expect(harness.read().match(/whole/g)).to.have.length(count);
   closeHarness(harness);
 });
