--- a/packages/sidecar/src/process/eventLoop.ts
+++ b/packages/sidecar/src/process/eventLoop.ts
@@ -1,10 +1,4 @@
 /** The event loop of the process, as the tasks use it. */
-import {performance} from 'node:perf_hooks';
-
-/** Returns the total time for which the loop has waited for events, ms. */
-export function readLoopIdleMs(): number {
-  return performance.nodeTiming.idleTime;
-}
 
 /** Calls back when the current turn of the loop ends, before it reads again. */
 export function runAfterTurn(callback: () => void): void {
--- a/packages/sidecar/src/process/loopWatch.test.ts
+++ b/packages/sidecar/src/process/loopWatch.test.ts
@@ -2,25 +2,31 @@
 import {VirtualClock} from 'sycamoreyoke/clock';
 import {LOOP_TICK_MS, LoopWatch} from './loopWatch.js';
 
-/** An event loop whose turns and idle times a test controls. */
+/** An event loop whose turns a test controls. */
 class TestLoop {
   readonly clock = new VirtualClock();
   readonly watch: LoopWatch;
-  private idleMs = 0;
-  private readonly callbacks: Array<() => void> = [];
+  private callbacks: Array<() => void> = [];
 
   constructor() {
     this.watch = new LoopWatch({
       clock: this.clock,
-      readIdleMs: () => this.idleMs,
       runAfterTurn: (callback) => this.callbacks.push(callback),
     });
   }
 
-  /** Ends the turn, waits for events and starts the next turn. */
-  startTurn(idleMs: number): void {
-    for (const callback of this.callbacks.splice(0)) callback();
-    this.idleMs += idleMs;
+  /** Ends the turn after some work and starts the next one. */
+  startTurn(workMs: number): void {
+    this.clock.advance(workMs);
+    const due = this.callbacks;
+    this.callbacks = [];
+    for (const callback of due) callback();
+  }
+
+  /** Ends the turn, finds nothing to read and waits for events. */
+  waitForEvents(idleMs: number): void {
+    this.startTurn(0);
+    this.startTurn(0);
     this.clock.advance(idleMs);
   }
 }
@@ -29,42 +35,52 @@
 // it reaches the upstream after its deadline or after its client has left.
 it('loop: a busy loop counts from the start of its last turn', () => {
   const loop = new TestLoop();
-  loop.startTurn(5);
-  const lastTurnMs = loop.clock.readMs();
-  // Other work comes first in the turn; bytes may arrive during it too.
-  loop.clock.advance(80);
+  loop.waitForEvents(5);
+  for (let turn = 0; turn < 4; turn += 1) {
+    const turnMs = loop.clock.readMs();
+    loop.watch.findEarliestArrivalMs();
+    loop.startTurn(LOOP_TICK_MS);
+    expect(loop.watch.findEarliestArrivalMs()).to.equal(turnMs);
+    loop.clock.advance(30);
+    expect(loop.watch.findEarliestArrivalMs()).to.equal(turnMs);
+    loop.waitForEvents(10);
+  }
+});
+
+// Guards against an estimate that takes the work of one turn for the age of
+// bytes in all turns that follow.
+it('loop: a loop in a row of short turns is hardly behind', () => {
+  const loop = new TestLoop();
+  loop.waitForEvents(5);
   loop.watch.findEarliestArrivalMs();
-  loop.clock.advance(LOOP_TICK_MS);
-  // The system call that reads events at once takes a moment too.
-  loop.startTurn(0.05);
-  expect(loop.watch.findEarliestArrivalMs()).to.equal(lastTurnMs);
-  loop.clock.advance(300);
-  expect(loop.watch.findEarliestArrivalMs()).to.equal(lastTurnMs);
-  const readMs = loop.clock.readMs() - 300;
-  loop.startTurn(0.05);
-  expect(loop.watch.findEarliestArrivalMs()).to.be.closeTo(readMs, 1);
+  loop.startTurn(LOOP_TICK_MS);
+  for (let turn = 0; turn < 9; turn += 1) {
+    loop.watch.findEarliestArrivalMs();
+    loop.startTurn(2);
+  }
+  const behindMs = loop.clock.readMs() - loop.watch.findEarliestArrivalMs();
+  expect(behindMs).to.equal(2);
 });
 
 // Guards against time that an idle process spent waiting being taken off the
 // deadline of the request that woke it.
 it('loop: an idle loop handles bytes as they arrive', () => {
   const loop = new TestLoop();
-  loop.startTurn(5);
+  loop.waitForEvents(5);
   loop.watch.findEarliestArrivalMs();
-  loop.startTurn(LOOP_TICK_MS);
+  loop.waitForEvents(LOOP_TICK_MS);
   loop.watch.observe();
-  loop.startTurn(100);
+  loop.waitForEvents(100);
   const nowMs = loop.clock.readMs();
   expect(loop.watch.findEarliestArrivalMs()).to.equal(nowMs);
 });
 
-// Guards against requests that waited while the process was paused: the loop
-// counts the pause as idle time.
+// Guards against requests that waited while the process was paused.
 it('loop: after a pause bytes may be as old as the last turn', () => {
   const loop = new TestLoop();
-  loop.startTurn(5);
+  loop.waitForEvents(5);
   const lastSeenMs = loop.clock.readMs();
   loop.watch.findEarliestArrivalMs();
-  loop.startTurn(3_000);
+  loop.waitForEvents(3_000);
   expect(loop.watch.findEarliestArrivalMs()).to.equal(lastSeenMs);
 });
--- a/packages/sidecar/src/process/loopWatch.ts
+++ b/packages/sidecar/src/process/loopWatch.ts
@@ -6,48 +6,36 @@
 /** A loop that was not seen for this long was paused or blocked. */
 const MAX_UNSEEN_MS = LOOP_TICK_MS + 100;
 
-/**
- * A loop that waited for less may have found data at once: the wait counts the
- * time of the system call.
- */
-const MIN_IDLE_MS = 1;
-
 /** Dependencies of the watch. */
 export interface LoopWatchParts {
   readonly clock: Clock;
-  /** Total time for which the event loop has waited for events, ms. */
-  readonly readIdleMs: () => number;
-  /** Calls back once the current turn of the event loop ends. */
+  /**
+   * Calls back when the current turn of the event loop ends. While a callback
+   * is due, the loop reads the sockets without waiting for events.
+   */
   readonly runAfterTurn: (callback: () => void) => void;
 }
 
-/** A moment at which a turn of the loop ended. */
-interface TurnEnd {
-  readonly endMs: number;
-  /** Total idle time of the loop by then, ms. */
-  readonly idleMs: number;
-}
-
 /**
- * Tells when bytes that are handled now may have arrived. A loop that has been
- * idle since its last turn handles bytes at once; bytes that a busy loop reads
- * may have arrived at any time since it last read, and bytes that a paused
- * process reads since it last ran. Turns that nobody observes count as part of
- * the next one.
+ * Tells when bytes that are handled now may have arrived. After each observed
+ * turn, the loop reads once without waiting: what it finds may have arrived at
+ * any time since that turn began. A loop that finds nothing has caught up, and
+ * handles bytes as they arrive from then on. Idle times that the event loop
+ * reports are not used: a process that is descheduled in a system call seems
+ * idle. Bytes that a paused process reads may have arrived since it last ran.
  */
 export class LoopWatch {
   private isInTurn = false;
+  /** Whether the loop has read without waiting since the last turn. */
+  private isBehind = false;
+  private turnStartMs: number;
   private lastSeenMs: number;
-  private lastEnd: TurnEnd;
-  /** When the loop read the sockets for the turn that ended last. */
-  private lastReadMs: number;
   private earliestArrivalMs: number;
 
   constructor(private readonly parts: LoopWatchParts) {
-    this.lastEnd = this.readTurnEnd();
-    this.lastSeenMs = this.lastEnd.endMs;
-    this.lastReadMs = this.lastEnd.endMs;
-    this.earliestArrivalMs = this.lastEnd.endMs;
+    this.turnStartMs = parts.clock.readMs();
+    this.lastSeenMs = this.turnStartMs;
+    this.earliestArrivalMs = this.turnStartMs;
   }
 
   /**
@@ -68,20 +56,18 @@
 
   private startTurn(nowMs: number): void {
     this.isInTurn = true;
-    const idleMs = this.parts.readIdleMs() - this.lastEnd.idleMs;
-    const readMs = Math.min(nowMs, this.lastEnd.endMs + idleMs);
     const wasPaused = nowMs - this.lastSeenMs > MAX_UNSEEN_MS;
-    const isPrompt = idleMs >= MIN_IDLE_MS && !wasPaused;
-    this.earliestArrivalMs = isPrompt ? readMs : this.lastReadMs;
-    this.parts.runAfterTurn(() => {
-      this.isInTurn = false;
-      this.lastReadMs = readMs;
-      this.lastEnd = this.readTurnEnd();
-    });
+    const mayBeOld = this.isBehind || wasPaused;
+    this.earliestArrivalMs = mayBeOld ? this.turnStartMs : nowMs;
+    this.turnStartMs = nowMs;
+    this.parts.runAfterTurn(() => this.endTurn());
   }
 
-  private readTurnEnd(): TurnEnd {
-    const {clock, readIdleMs} = this.parts;
-    return {endMs: clock.readMs(), idleMs: readIdleMs()};
+  private endTurn(): void {
+    this.isInTurn = false;
+    this.isBehind = true;
+    this.parts.runAfterTurn(() => {
+      if (!this.isInTurn) this.isBehind = false;
+    });
   }
 }
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -41,7 +41,7 @@
 import type {CrashMark} from './process/crashTask.js';
 import {CrashTask, isCrashRow} from './process/crashTask.js';
 import type {DecisionLog} from './process/decisionLog.js';
-import {readLoopIdleMs, runAfterTurn} from './process/eventLoop.js';
+import {runAfterTurn} from './process/eventLoop.js';
 import {FleetTask} from './process/fleetTask.js';
 import {LoopWatch} from './process/loopWatch.js';
 import {computeMemoryLimits} from './process/memoryLimits.js';
@@ -206,7 +206,6 @@
   const frameBudget = new ByteBudget<FrameReader>(memory.frames);
   const loop = new LoopWatch({
     clock,
-    readIdleMs: readLoopIdleMs,
     runAfterTurn,
   });
   const peers: PeerTask = new PeerTask({
