--- a/packages/sidecar/src/container.ts
+++ b/packages/sidecar/src/container.ts
@@ -12,7 +12,7 @@
 import {createRandom} from 'sycamoreyoke/random';
 import {UpstreamPool} from './connection/upstreamPool.js';
 import {DecisionLog, createOutputWriter} from './process/decisionLog.js';
-import {computeMemoryLimits} from './process/memoryLimits.js';
+import type {MemoryLimits} from './process/memoryLimits.js';
 import type {SidecarSettings} from './types.js';
 
 export const TOKENS = {
@@ -27,8 +27,11 @@
 
 const LARGEST_SEED = 2 ** 31;
 
-/** Binds the objects that depend only on the settings. */
-export function createContainer(settings: SidecarSettings): Container {
+/** Binds the objects that depend only on the settings and the limits. */
+export function createContainer(
+  settings: SidecarSettings,
+  memory: MemoryLimits,
+): Container {
   const container = new Container({defaultScope: 'Singleton'});
   container.bind<Clock>(TOKENS.clock).toConstantValue(systemClock);
   container
@@ -54,7 +57,7 @@
           const {record} = container.get<DecisionLog>(TOKENS.log);
           record(EventCode.MESSAGE_MALFORMED, {source: 'upstream', message});
         },
-        computeMemoryLimits(settings.memoryMb),
+        memory,
       ),
   );
   return container;
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -108,12 +108,12 @@
 export function buildSidecar(adapter: SidecarAdapter): SidecarParts {
   const {wire, store} = adapter;
   const settings = {...adapter.settings};
-  const container = createContainer(settings);
+  const memory = computeMemoryLimits(settings.memoryMb);
+  const container = createContainer(settings, memory);
   const clock = container.get<Clock>(TOKENS.clock);
   const metrics = container.get<Metrics>(TOKENS.metrics);
   const log = container.get<DecisionLog>(TOKENS.log);
   const {record} = log;
-  const memory = computeMemoryLimits(settings.memoryMb);
   const random = container.get<Random>(TOKENS.random);
   const lifecycle: SidecarLifecycle = {
     stop: undefined,
