--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -11,6 +11,7 @@
   hasTrouble,
   runCase,
   sleep,
+  waitUntil,
 } from '../lib/harness.mjs';
 import {LinkProxy, routeLinks} from '../lib/linkProxy.mjs';
 
@@ -18,8 +19,6 @@
 const STABLE_MS = 3_000;
 const BOOKINGS = 6;
 const SUSPENDED_MS = 2_000;
-/** Time for the bookings to reach the backend before the suspension. */
-const SENT_MS = 100;
 const RESET_AFTER_MS = 200;
 
 async function play(fleet, record) {
@@ -70,7 +69,10 @@
       }),
     ),
   );
-  await sleep(SENT_MS);
+  await waitUntil('all bookings run', () => {
+    const {runs: nearRuns} = near.backend;
+    return nearRuns.length + far.backend.runs.length === BOOKINGS;
+  });
   if (hasTrouble) {
     origin.process.kill('SIGSTOP');
     record.add(`${origin.name} is suspended`);
