--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -12,8 +12,8 @@
   runCase,
   sleep,
   waitUntil,
-} from '../lib/harness.mjs';
-import {LinkProxy, routeLinks} from '../lib/linkProxy.mjs';
+} from '../harness.mjs';
+import {LinkProxy, routeLinks} from '../linkProxy.mjs';
 
 const HOST = 'jepu9.example';
 const STABLE_MS = 3_000;
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -11,7 +11,7 @@
   runCase,
   sleep,
   waitUntil,
-} from '../lib/harness.mjs';
+} from '../harness.mjs';
 
 const HOST = 'jepu9.example';
 const DRAIN_MS = 2_000;
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -10,7 +10,7 @@
   hasTrouble,
   runCase,
   sleep,
-} from '../lib/harness.mjs';
+} from '../harness.mjs';
 
 const HOST = 'jepu9.example';
 const DRAIN_MS = 2_000;
--- a/review/lib/harness.mjs
+++ b/review/harness.mjs
@@ -15,9 +15,9 @@
 import {tmpdir} from 'node:os';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {StoreStandIn} from '../../platform/dist/standins/storeStandIn.js';
+import {StoreStandIn} from '../platform/dist/standins/storeStandIn.js';
 
-const ROOT = dirname(dirname(dirname(fileURLToPath(import.meta.url))));
+const ROOT = dirname(dirname(fileURLToPath(import.meta.url)));
 /** The words of `run` in deploy/system.toml. */
 const DEPLOY_COMMAND = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8')
   .match(/^run = "(.*)"$/m)[1]
