Call no booking "not run" whose gate has forgotten its session

Cause: a gate forgets a session 1.5 s after its link was lost and opens a new, empty one under the same name. Whether it was new was a flag of the connection. When that connection was lost before RESUME, the next one found the session known and took every call above its highest id, 0, for one that never arrived.

Change: each session has an epoch, a count of the gate's process, told in its HELLO. Calls are only sent on a link whose HELLO was answered, so all pending calls belong to the epoch of the last answer; in another one the origin does not ask, and their outcome is unknown. This holds for any number of lost connections and for a HELLO that arrives late. Nodes of revision 2 are neither asked nor told "not run". A new event, LINK_CALLS_FORGOTTEN, shows the case.

Related path: calls on a healthy connection ended as unknown when the lost ones had been cancelled before the next HELLO, as their wait went on.

Where no link is lost, the cost is two bytes in the answer to a HELLO.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -27,6 +27,7 @@
   FRAME_REVISION,
   FrameKind,
   GOODBYE_REVISION,
+  RESUME_REVISION,
   TOLERANT_REVISION,
 } from './frame.js';
 import {sendFrame} from './peerFrames.js';
@@ -85,8 +86,6 @@
   private isSameService = false;
   private session: LinkSession;
   private sessionName: string | undefined;
-  /** Whether the session has had no other link before this one. */
-  private isNewSession = true;
   private readonly transitDelay = new TransitDelay();
 
   constructor(
@@ -221,6 +220,8 @@
           node: this.parts.describeSelf().node,
           report: this.describeReport(),
           revision: FRAME_REVISION,
+          epoch:
+            this.sessionName === undefined ? undefined : this.session.epoch,
         });
         this.parts.handleHello(frame.node);
         this.parts.handlePeerVersion(frame.report.configurationVersion, this);
@@ -237,7 +238,8 @@
         this.session.cancel(frame.id);
         return;
       case FrameKind.RESUME:
-        if (this.isNewSession) this.session.refuseResume(frame.pendingIds);
+        if (this.sessionName === undefined)
+          this.session.refuseResume(frame.pendingIds);
         else this.session.resume(frame.pendingIds);
         send({kind: FrameKind.RESUMED});
         return;
@@ -260,12 +262,11 @@
     }
   }
 
-  private openSession({node, session}: HelloFrame): void {
+  private openSession({node, session, revision}: HelloFrame): void {
     if (session === undefined || this.sessionName !== undefined) return;
+    if (revision < RESUME_REVISION) return;
     this.sessionName = `${node.incarnation} ${session}`;
-    const opened = this.sessions.open(this.sessionName, this);
-    this.session = opened.session;
-    this.isNewSession = opened.isNew;
+    this.session = this.sessions.open(this.sessionName, this);
   }
 
   /** The calls of a named session wait for its next link. */
--- a/packages/sidecar/src/connection/frame.ts
+++ b/packages/sidecar/src/connection/frame.ts
@@ -33,14 +33,17 @@
  * Revision of the frames that a node understands, sent in its HELLO. Nodes that
  * send none (0) treat an unknown kind as a fault and end the link.
  */
-export const FRAME_REVISION = 2;
+export const FRAME_REVISION = 3;
 /** First revision with GOODBYE. */
 export const GOODBYE_REVISION = 1;
 /** First revision that ignores unknown kinds of frames. */
 export const TOLERANT_REVISION = 1;
 
-/** First revision with RESUME, session names and acknowledgements. */
-export const RESUME_REVISION = 2;
+/**
+ * First revision whose HELLO tells in which epoch a session is. Nodes of
+ * revision 2 resume calls without it, which can call one "not run" that ran.
+ */
+export const RESUME_REVISION = 3;
 
 /** A message between two nodes. */
 export type Frame =
@@ -51,6 +54,11 @@
       readonly revision: number;
       /** Names the origin's calls on this link and its later connections. */
       readonly session?: string | undefined;
+      /**
+       * In the answer to a HELLO with a session: changes when the gate has
+       * forgotten the session and begins it anew.
+       */
+      readonly epoch?: number | undefined;
     }
   | {
       readonly kind: FrameKind.CALL;
--- a/packages/sidecar/src/connection/linkEvents.ts
+++ b/packages/sidecar/src/connection/linkEvents.ts
@@ -20,4 +20,6 @@
   handleClosing(link: PeerLink, calls: number): void;
   /** Called when the node is asked about this many calls of a lost socket. */
   handleResume(link: PeerLink, calls: number): void;
+  /** Called when the node cannot tell what became of this many calls. */
+  handleForgotten(link: PeerLink, calls: number): void;
 }
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -61,6 +61,10 @@
   readonly losses: string[];
   /** Counts passed to its handleResume events. */
   readonly resumes: number[];
+  /** Counts passed to its handleForgotten events. */
+  readonly forgotten: number[];
+  /** Stops pings, as in an origin that is suspended. */
+  readonly stopTicks: () => void;
   readonly stop: () => void;
 }
 
@@ -155,6 +159,7 @@
   const closings: number[] = [];
   const losses: string[] = [];
   const resumes: number[] = [];
+  const forgotten: number[] = [];
   const self = createNode('origin', {host: HOST, port: 1});
   const events: LinkEvents = {
     describeSelf: () => ({node: self, report: REPORT}),
@@ -166,6 +171,7 @@
     handleDown: (_link, message) => losses.push(message),
     handleSilentLink: () => undefined,
     handleResume: (_link, calls) => resumes.push(calls),
+    handleForgotten: (_link, calls) => forgotten.push(calls),
     handleClosing: (_link, calls) => closings.push(calls),
   };
   const node = createNode('peer', address);
@@ -176,7 +182,8 @@
     link.stop();
   };
   await waitFor(() => link.isOpen());
-  return {link, closings, losses, resumes, stop};
+  const stopTicks = () => clearInterval(timer);
+  return {link, closings, losses, resumes, forgotten, stopTicks, stop};
 }
 
 /** Sends a call and resolves with its result. */
--- a/packages/sidecar/src/connection/linkResume.test.ts
+++ b/packages/sidecar/src/connection/linkResume.test.ts
@@ -8,6 +8,7 @@
   PING_MS,
   PING_TIMEOUT_MS,
   REPLACE_MS,
+  RESUME_WAIT_MS,
 } from '../constants.js';
 import type {Address, CallResult} from '../types.js';
 import type {TestLink, TestNode} from './linkHarness.test.js';
@@ -25,7 +26,12 @@
   waitFor,
 } from './linkHarness.test.js';
 import type {Frame} from './frame.js';
-import {FRAME_REVISION, FrameKind, GOODBYE_REVISION} from './frame.js';
+import {
+  FRAME_REVISION,
+  FrameKind,
+  GOODBYE_REVISION,
+  RESUME_REVISION,
+} from './frame.js';
 import {encodeFrame} from './peerFrames.js';
 
 /** A proxy whose open connections a test resets or silences. */
@@ -38,16 +44,29 @@
   silence(): void;
   /** Delays what the node sends. */
   setDelay(delayMs: number): void;
+  /** Resets the node's side; the origin learns of it by release(). */
+  cutNode(): void;
+  /** Resets the origin's side of the connections that cutNode() has left. */
+  release(): void;
+  /** Resets that many new connections once the node has answered on them. */
+  resetNext(connections: number): void;
 }
 
 async function openProxy(target: Address): Promise<CuttableProxy> {
   const pairs: Array<readonly [Socket, Socket]> = [];
+  const held: Socket[] = [];
   let delayMs = 0;
+  let resets = 0;
   const {address, server} = await openRawServer((clientSocket) => {
     const targetSocket = connect(target);
+    const isReset = resets > 0;
+    if (isReset) resets -= 1;
     clientSocket.pipe(targetSocket);
     targetSocket.on('data', (chunk) => {
-      if (delayMs === 0) clientSocket.write(chunk);
+      if (isReset) {
+        targetSocket.resetAndDestroy();
+        clientSocket.resetAndDestroy();
+      } else if (delayMs === 0) clientSocket.write(chunk);
       else setTimeout(() => clientSocket.write(chunk), delayMs);
     });
     clientSocket.on('error', () => targetSocket.destroy());
@@ -60,6 +79,19 @@
     setDelay: (changedMs) => {
       delayMs = changedMs;
     },
+    cutNode: () => {
+      for (const [clientSocket, targetSocket] of pairs.splice(0)) {
+        clientSocket.unpipe();
+        targetSocket.resetAndDestroy();
+        held.push(clientSocket);
+      }
+    },
+    release: () => {
+      for (const socket of held.splice(0)) socket.resetAndDestroy();
+    },
+    resetNext: (connections) => {
+      resets = connections;
+    },
     cut: () => {
       for (const socket of pairs.splice(0).flat()) socket.resetAndDestroy();
     },
@@ -101,20 +133,23 @@
   readonly revision?: number;
   readonly session?: string;
   readonly incarnation?: string;
+  readonly epoch?: number;
 }
 
 function createHello({
   revision = FRAME_REVISION,
   session,
   incarnation = 'start-1',
+  epoch,
 }: PeerHello = {}): Frame {
   const node = {...createNode('peer', {host: HOST, port: 1}), incarnation};
-  return {kind: FrameKind.HELLO, node, report: REPORT, revision, session};
+  const report = REPORT;
+  return {kind: FrameKind.HELLO, node, report, revision, session, epoch};
 }
 
 /** Opens a peer of which the test writes the frames behind its HELLO. */
 async function openRawPeer(
-  describeHello: (starts: number) => PeerHello = () => ({}),
+  describeHello: (starts: number) => PeerHello = () => ({epoch: 1}),
 ) {
   const sockets: Socket[] = [];
   const frames: Frame[] = [];
@@ -227,6 +262,7 @@
 it('resume: calls of a restarted node are lost', async () => {
   const peer = await openRawPeer((starts) => ({
     incarnation: `start-${starts}`,
+    epoch: 1,
   }));
   const link = await openLink(peer.address);
   const sending = sendCall(link, createCall('r-1'));
@@ -353,3 +389,108 @@
     kinds.indexOf(FrameKind.RESULT),
   );
 });
+
+// Guards against a booking that runs twice: the gate forgets a session, opens it
+// anew for a connection that is lost before the question, and then takes the
+// calls of the former one for calls that never arrived.
+for (const lostConnections of [0, 1, 2, 3]) {
+  const title = `resume: a forgotten call is unknown after ${lostConnections} lost connections`;
+  it(title, async () => {
+    const {node, proxy, link, close} = await openTrial();
+    const sending = sendCall(link, createCall('r-1'));
+    await waitFor(() => node.received.length === 1);
+    link.stopTicks();
+    proxy.cutNode();
+    await waitFor(() => node.received[0]?.isCancelled === true);
+    proxy.resetNext(lostConnections);
+    proxy.release();
+    expect((await sending).end).to.equal(SendEnd.LOST);
+    expect(link.forgotten).to.deep.equal([1]);
+    await close();
+  });
+}
+
+// Guards against a HELLO that the network has held back, and that opens a
+// forgotten session anew before the origin asks.
+it('resume: a call is unknown after a late hello has opened its session', async () => {
+  const node = await openNode('peer');
+  const open = async () => {
+    const socket = connect(node.address);
+    const frames: Frame[] = [];
+    const reader = createFrameReader((frame) => frames.push(frame));
+    socket.on('data', (chunk) => reader.add(chunk));
+    socket.write(encodeFrame(createHello({session: 's'})));
+    await waitFor(() => frames.length > 0);
+    const [hello] = frames;
+    return {socket, epoch: hello?.kind === FrameKind.HELLO && hello.epoch};
+  };
+  const first = await open();
+  const call = createCall('r-1');
+  const frame = {kind: FrameKind.CALL, id: 1, call, sentMs: undefined} as const;
+  first.socket.write(encodeFrame(frame));
+  await waitFor(() => node.received.length === 1);
+  first.socket.resetAndDestroy();
+  const resumed = await open();
+  resumed.socket.resetAndDestroy();
+  await waitFor(() => node.received[0]?.isCancelled === true);
+  const late = await open();
+  late.socket.resetAndDestroy();
+  const last = await open();
+  last.socket.destroy();
+  await node.server.close(0);
+  expect(resumed.epoch).to.equal(first.epoch);
+  expect(late.epoch).to.not.equal(first.epoch);
+  expect(last.epoch).to.equal(late.epoch);
+});
+
+// Guards against asking a gate that has forgotten the calls: its answer would be
+// wrong.
+it('resume: a node in another epoch is not asked', async () => {
+  const peer = await openRawPeer((starts) => ({epoch: starts}));
+  const link = await openLink(peer.address);
+  const sending = sendCall(link, createCall('r-1'));
+  await waitFor(() => peer.frames.some(({kind}) => kind === FrameKind.CALL));
+  peer.sockets[0]?.resetAndDestroy();
+  expect((await sending).end).to.equal(SendEnd.LOST);
+  expect(peer.frames.map(({kind}) => kind)).to.not.include(FrameKind.RESUME);
+  link.stop();
+  peer.close();
+});
+
+// Guards against telling an origin of the version before, which does not know
+// of epochs, that a call has not run.
+it('resume: an origin without epochs is told that calls are unknown', async () => {
+  const node = await openNode('peer');
+  const socket = connect(node.address);
+  const ends: SendEnd[] = [];
+  const reader = createFrameReader((frame) => {
+    if (frame.kind === FrameKind.RESULT) ends.push(frame.result.end);
+  });
+  socket.on('data', (chunk) => reader.add(chunk));
+  const revision = RESUME_REVISION - 1;
+  socket.write(encodeFrame(createHello({session: 's', revision})));
+  socket.write(encodeFrame({kind: FrameKind.RESUME, pendingIds: [1]}));
+  await waitFor(() => ends.length === 1);
+  socket.destroy();
+  await node.server.close(0);
+  expect(ends).to.deep.equal([SendEnd.LOST]);
+});
+
+// Guards against a healthy call that ends as lost, because it was sent while
+// the wait for the calls of a lost connection had not ended.
+it('resume: a call on the next connection outlives the wait', async () => {
+  const {node, proxy, link, close} = await openTrial();
+  const cancelled = link.link.send(createCall('left'), () => undefined);
+  await waitFor(() => node.received.length === 1);
+  proxy.setDelay(100);
+  proxy.cut();
+  await waitFor(() => link.losses.length === 1);
+  cancelled.cancel();
+  await waitFor(() => link.link.isOpen());
+  const sending = sendCall(link, createCall('next'));
+  await waitFor(() => node.received.length === 2);
+  await new Promise((resolve) => setTimeout(resolve, 1.2 * RESUME_WAIT_MS));
+  node.received[1]?.settle(createResponse('next'));
+  expect((await sending).end).to.equal(SendEnd.RESPONSE);
+  await close();
+});
--- a/packages/sidecar/src/connection/linkSession.test.ts
+++ b/packages/sidecar/src/connection/linkSession.test.ts
@@ -15,7 +15,7 @@
 
 function createSession(): SessionTrial {
   const clock = new VirtualClock();
-  const session = new LinkSession(new ResultRetention(clock));
+  const session = new LinkSession(1, new ResultRetention(clock));
   const sent: Array<readonly [number, CallResult]> = [];
   session.link = {
     sendResult: (id, result) => void sent.push([id, result]),
--- a/packages/sidecar/src/connection/linkSession.ts
+++ b/packages/sidecar/src/connection/linkSession.ts
@@ -24,6 +24,8 @@
   private highestId = 0;
 
   constructor(
+    /** Differs between the sessions of a process, also of the same name. */
+    readonly epoch: number,
     /** Keeps results until they are acknowledged; undefined to keep none. */
     private readonly retention: ResultRetention | undefined,
   ) {}
@@ -85,8 +87,8 @@
   /**
    * Answers what became of the calls that are pending at the origin. Running
    * calls answer when they end, and those that the origin has given up are
-   * cancelled. A call above the highest id never arrived: the connection that
-   * carried it is closed and will not be read.
+   * cancelled. A call above the highest id never arrived: it was sent in this
+   * epoch, and its connection is closed and will not be read.
    */
   resume(pendingIds: readonly number[]): void {
     const pending = new Set(pendingIds);
@@ -101,7 +103,7 @@
     }
   }
 
-  /** Answers as unknown what a former session with this name was asked. */
+  /** Answers as unknown what the session cannot tell. */
   refuseResume(pendingIds: readonly number[]): void {
     for (const id of pendingIds) this.link?.sendResult(id, createLoss());
   }
--- a/packages/sidecar/src/connection/linkSessions.ts
+++ b/packages/sidecar/src/connection/linkSessions.ts
@@ -10,6 +10,7 @@
   private readonly sessions = new Map<string, LinkSession>();
   private readonly expiryTimers = new Map<LinkSession, NodeJS.Timeout>();
   private readonly retention: ResultRetention;
+  private nextEpoch = 1;
 
   constructor(clock: Clock) {
     this.retention = new ResultRetention(clock);
@@ -17,7 +18,7 @@
 
   /** Opens a session that ends with its link. */
   openAnonymous(link: SessionLink): LinkSession {
-    const session = new LinkSession(undefined);
+    const session = new LinkSession(0, undefined);
     session.link = link;
     return session;
   }
@@ -26,19 +27,17 @@
    * Opens the session of that name, or a new one. A link that it had before is
    * closed: what it has not delivered yet must not arrive any more.
    */
-  open(
-    name: string,
-    link: SessionLink,
-  ): {session: LinkSession; isNew: boolean} {
-    const known = this.sessions.get(name);
-    const session = known ?? new LinkSession(this.retention);
+  open(name: string, link: SessionLink): LinkSession {
+    const session =
+      this.sessions.get(name) ??
+      new LinkSession(this.nextEpoch++, this.retention);
     clearTimeout(this.expiryTimers.get(session));
     this.expiryTimers.delete(session);
     const former = session.link;
     session.link = link;
     this.sessions.set(name, session);
     former?.disconnect();
-    return {session, isNew: !known};
+    return session;
   }
 
   /** Keeps a session without a link for a while; then cancels its calls. */
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -108,7 +108,7 @@
         buildNode(frame.node),
         buildReport(frame.report),
         frame.revision,
-        ...(frame.session === undefined ? [] : [frame.session]),
+        ...buildSession(frame.session, frame.epoch),
       ];
     case FrameKind.CALL:
       return [
@@ -159,7 +159,7 @@
 export function decodeFrame(content: Buffer): Frame | undefined {
   const fields: unknown = packr.unpack(content);
   if (!Array.isArray(fields)) throw new FrameError('frame is not a list');
-  const [kind, first, second, third, fourth] = fields as [
+  const [kind, first, second, third, fourth, fifth] = fields as [
     FrameKind,
     ...unknown[],
   ];
@@ -170,7 +170,8 @@
         node: readNode(first),
         report: readReport(second),
         revision: readCount(third ?? 0),
-        ...(fourth === undefined ? {} : {session: readName(fourth)}),
+        ...(fourth ? {session: readName(fourth)} : {}),
+        ...(fifth === undefined ? {} : {epoch: readCount(fifth)}),
       };
     case FrameKind.CALL:
       return {
@@ -215,6 +216,11 @@
   }
 }
 
+function buildSession(session?: string, epoch?: number): Fields {
+  if (epoch !== undefined) return [session ?? null, epoch];
+  return session === undefined ? [] : [session];
+}
+
 function readIds(value: unknown): readonly number[] {
   return readList(value).map(readCount);
 }
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -70,8 +70,8 @@
   private readonly pendingCalls = new PendingCalls();
   /** Names the calls of this link at the gate, on all its connections. */
   private readonly session = randomUUID();
-  /** Incarnation of the process that the calls were sent to. */
-  private incarnation: string | undefined;
+  /** Incarnation and epoch of the node that the calls were sent to. */
+  private holder: string | undefined;
   /** Calls whose results the gate may forget. */
   private unacknowledgedIds: number[] = [];
 
@@ -321,7 +321,7 @@
         this.isUp = true;
         this.peerRevision = frame.revision;
         this.redialDelayMs = REDIAL_MIN_MS;
-        this.resume(frame.node);
+        this.resume(frame.node, frame.epoch);
         this.updateReport(frame.report);
         this.events.handleHello(this, frame.node);
         this.events.handleUp(this);
@@ -347,12 +347,18 @@
     }
   }
 
-  /** Asks the same process what became of the calls of a lost connection. */
-  private resume({incarnation}: NodeRecord): void {
-    const isSameProcess = incarnation === this.incarnation;
-    this.incarnation = incarnation;
-    if (this.pendingCalls.count() === 0) return;
-    if (!isSameProcess || this.peerRevision < RESUME_REVISION) {
+  /**
+   * Asks the same process what became of the calls of a lost connection. In
+   * another epoch it does not know whether they have arrived.
+   */
+  private resume({incarnation}: NodeRecord, epoch?: number): void {
+    const holder = `${incarnation} ${epoch}`;
+    const canTell = epoch !== undefined && holder === this.holder;
+    this.holder = holder;
+    const calls = this.pendingCalls.count();
+    if (calls === 0) return this.pendingCalls.stopWaiting();
+    if (!canTell) {
+      this.events.handleForgotten(this, calls);
       this.pendingCalls.settleAll(createLoss());
       return;
     }
--- a/packages/sidecar/src/connection/pendingCalls.ts
+++ b/packages/sidecar/src/connection/pendingCalls.ts
@@ -76,8 +76,9 @@
     this.uncertainIds = new Set(this.entries.keys());
     if (this.timers.length > 0) return;
     const expire = (isDue: (entry: PendingEntry) => boolean) => {
+      const {uncertainIds} = this;
       for (const [id, entry] of [...this.entries]) {
-        if (isDue(entry)) this.settle(id, createLoss());
+        if (uncertainIds.has(id) && isDue(entry)) this.settle(id, createLoss());
       }
       if (this.entries.size === 0) this.stopWaiting();
       handleExpiry();
@@ -87,7 +88,10 @@
         () => expire(({isIdempotent}) => isIdempotent),
         RESUME_IDEMPOTENT_MS,
       ),
-      setTimeout(() => expire(() => true), RESUME_WAIT_MS),
+      setTimeout(() => {
+        this.timers = [];
+        expire(() => true);
+      }, RESUME_WAIT_MS),
     ];
   }
 
--- a/packages/sidecar/src/process/decisionLog.ts
+++ b/packages/sidecar/src/process/decisionLog.ts
@@ -29,6 +29,7 @@
   EventCode.LINK_DOWN,
   EventCode.LINK_CLOSING,
   EventCode.LINK_RESUMED,
+  EventCode.LINK_CALLS_FORGOTTEN,
   EventCode.MEMBER_JOINED,
 ]);
 const PROCESS_CODES: ReadonlySet<EventCode> = new Set([
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -336,6 +336,13 @@
         calls,
       });
     },
+    handleForgotten: (link, calls) => {
+      this.parts.record(EventCode.LINK_CALLS_FORGOTTEN, {
+        node: link.node.node,
+        service: link.node.service,
+        calls,
+      });
+    },
     handleClosing: (link, calls) => {
       this.parts.record(EventCode.LINK_CLOSING, {
         node: link.node.node,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -223,6 +223,12 @@
     'service',
     'calls',
   ),
+  [EventCode.LINK_CALLS_FORGOTTEN]: describe(
+    'A node no longer knows the calls of a lost connection; each may have run.',
+    'node',
+    'service',
+    'calls',
+  ),
   [EventCode.CONFIGURATION_ADOPTED]: describe(
     'A newer configuration was adopted.',
     'version',
