Remember the leaving of an upstream that has sent no heartbeat yet

Cause: a leaving was a mark on the current upstream. Without a heartbeat there was none, so nothing was kept, and the late heartbeat looked like a first one. A leaving of a later instance than the current one, and one of an instance that was cleared, were lost in the same way.

Change: UpstreamLeavings keeps leavings apart from the current upstream, with the incarnation if it is known, else with the time of day, since DELETE names the id only. The presence asks it whenever it starts to track an incarnation. A successor, also under the same id, gets work with its first heartbeat.

No call to the store and no wait was added.

--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -177,9 +177,9 @@
   /** Handles the upstream's announcement that it is leaving. */
   observeLeave(instance: string): void {
     const change = this.parts.presence.recordLeaving(instance);
-    if (change !== PresenceChange.DRAINING) return;
-    recordPresence(this.parts.record, change, instance, 0);
-    this.parts.handleChange();
+    if (change === PresenceChange.NONE) return;
+    recordPresence(this.parts.record, PresenceChange.DRAINING, instance, 0);
+    if (change === PresenceChange.DRAINING) this.parts.handleChange();
   }
 
   /** Offers a call to the gate; the handler is called once with the result. */
--- a/packages/sycamoreyoke/src/process/upstreamPresence.test.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.test.ts
@@ -93,3 +93,83 @@
   expect(presence.observe(restarted)).to.equal(PresenceChange.STARTED);
   expect(presence.observe(HEARTBEAT)).to.equal(PresenceChange.OUTDATED);
 });
+
+/** A presence of which no heartbeat was seen before an instance has left. */
+function createLeft(announcedMs = 10_000) {
+  const clock = new VirtualClock(new Date(announcedMs));
+  const presence = new UpstreamPresence(clock);
+  presence.recordLeaving(HEARTBEAT.instance);
+  const observe = (changes: Partial<UpstreamHeartbeat> = {}) => {
+    presence.observe({...HEARTBEAT, ...changes});
+    return presence.read()?.drainingSinceMs;
+  };
+  return {clock, presence, observe};
+}
+
+// Guards against work for an upstream whose leaving was acknowledged before its
+// first heartbeat, which is late.
+it('presence: a leaving before the first heartbeat is remembered', () => {
+  const {clock, observe} = createLeft();
+  expect(observe()).to.equal(-Infinity);
+  expect(observe({sequence: 6})).to.equal(-Infinity);
+  clock.advance(60_000);
+  expect(observe({sequence: 7})).to.equal(-Infinity);
+});
+
+// Guards against the same while heartbeats of an earlier upstream are known.
+it('presence: a leaving of a later instance is remembered', () => {
+  const {presence} = observeAll({instance: 'i-0', bornMs: -500});
+  presence.recordLeaving('i-1');
+  presence.observe({...HEARTBEAT, bornMs: 0});
+  expect(presence.read()?.instance).to.equal('i-1');
+  expect(presence.read()?.drainingSinceMs).to.equal(-Infinity);
+});
+
+// Guards against late heartbeats that bring back an upstream that has left,
+// after its successor was found at the address.
+it('presence: a leaving is remembered when its instance is cleared', () => {
+  const {presence} = observeAll({});
+  presence.recordLeaving('i-1');
+  presence.clearInstance('i-1');
+  presence.observe({...HEARTBEAT, sequence: 6});
+  expect(presence.read()?.drainingSinceMs).to.equal(-Infinity);
+});
+
+// Guards against a leaving that keeps work from the next upstream.
+it('presence: a successor gets work at once, also under the same id', () => {
+  const {presence, observe} = createLeft();
+  expect(observe({instance: 'i-2', bornMs: 10_001})).to.equal(undefined);
+  expect(observe({bornMs: 10_002, sequence: 1})).to.equal(undefined);
+  expect(presence.recordLeaving('i-1')).to.equal(PresenceChange.DRAINING);
+  expect(observe({instance: 'i-3', bornMs: 10_003})).to.equal(undefined);
+});
+
+// Guards against keeping work for good from a successor with the same id, after
+// the clock was set back.
+it('presence: a successor with an earlier start gets work in the end', () => {
+  const {clock, observe, presence} = createLeft();
+  const start = {bornMs: 9_000};
+  const drains = [1, 2, 3, 4, 5].map((sequence) => {
+    const drainingSinceMs = observe({...start, sequence});
+    clock.advance(1_500);
+    return drainingSinceMs;
+  });
+  expect(drains.slice(0, 4)).to.deep.equal(Array(4).fill(-Infinity));
+  expect(drains[4]).to.equal(undefined);
+  presence.recordLeaving('i-1');
+  presence.recordEnd();
+  expect(observe({bornMs: 9_500, sequence: 1})).to.equal(undefined);
+});
+
+// Guards against taking delayed heartbeats, which arrive together, for those of
+// a successor.
+it('presence: late heartbeats that arrive together revive nothing', () => {
+  const {clock, observe} = createLeft();
+  for (const delayMs of [6_000, 6_000, 6_000]) {
+    clock.advance(delayMs);
+    for (let sequence = 1; sequence <= 9; sequence += 1) {
+      const sent = sequence + clock.readMs();
+      expect(observe({sequence: sent})).to.equal(-Infinity);
+    }
+  }
+});
--- a/packages/sycamoreyoke/src/process/upstreamPresence.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.ts
@@ -1,5 +1,6 @@
 /** Tracks the local upstream of a node from its heartbeats. */
 import type {Clock} from '../clock.js';
+import {LeavingMatch, UpstreamLeavings} from './upstreamLeavings.js';
 
 /** A validated heartbeat of an upstream. */
 export interface UpstreamHeartbeat {
@@ -16,6 +17,19 @@
 
 /** Three heartbeats; a running upstream is heard from within this time. */
 const MAX_SILENCE_MS = 5_000;
+/**
+ * An upstream that left sends no heartbeats. Delayed ones arrive together, so
+ * they count as one within this time.
+ */
+const MIN_HEARTBEAT_GAP_MS = 500;
+const MIN_CONTINUED_HEARTBEATS = 4;
+
+/** Heartbeats of an incarnation that has possibly left. */
+interface ContinuedHeartbeats {
+  readonly sinceMs: number;
+  readonly lastMs: number;
+  readonly count: number;
+}
 
 export enum PresenceChange {
   NONE = 'none',
@@ -53,6 +67,8 @@
   private olderHeartbeat: UpstreamHeartbeat | undefined;
   /** True if the current incarnation was found to have ended. */
   private hasEnded = false;
+  private readonly leavings = new UpstreamLeavings();
+  private continued: ContinuedHeartbeats | undefined;
 
   constructor(private readonly clock: Clock) {}
 
@@ -65,11 +81,11 @@
     const known = this.current;
     if (!known) {
       // A former process may have acknowledged the leaving long ago.
-      this.store(heartbeat, heartbeat.isDraining ? -Infinity : undefined);
+      this.start(heartbeat, heartbeat.isDraining);
       return PresenceChange.STARTED;
     }
     if (isNewer(heartbeat, known)) {
-      this.store(heartbeat, undefined);
+      this.start(heartbeat, false);
       return PresenceChange.STARTED;
     }
     const isSame = isSameStart(heartbeat, known);
@@ -78,9 +94,14 @@
       return PresenceChange.OUTDATED;
     }
     if (!isSame) {
-      this.store(heartbeat, undefined);
+      this.start(heartbeat, false);
       return PresenceChange.STARTED;
     }
+    if (this.isContinuing(heartbeat)) {
+      this.leavings.remove(heartbeat.instance);
+      this.store(heartbeat, undefined);
+      return PresenceChange.UPDATED;
+    }
     const wasDraining = known.drainingSinceMs !== undefined;
     this.store(heartbeat, known.drainingSinceMs);
     if (wasDraining) return PresenceChange.NONE;
@@ -90,10 +111,19 @@
       : PresenceChange.UPDATED;
   }
 
-  /** Marks the instance as draining after it announced that it is leaving. */
+  /**
+   * Records that an instance has announced its leaving, also if none of its
+   * heartbeats has arrived yet.
+   */
   recordLeaving(instance: string): PresenceChange {
     const known = this.current;
-    if (known?.instance !== instance) return PresenceChange.OUTDATED;
+    const isCurrent = known?.instance === instance;
+    this.leavings.add({
+      instance,
+      bornMs: isCurrent ? known.bornMs : undefined,
+      announcedMs: this.clock.readDate().getTime(),
+    });
+    if (!isCurrent) return PresenceChange.OUTDATED;
     if (known.drainingSinceMs !== undefined) return PresenceChange.NONE;
     this.current = {...known, drainingSinceMs: this.clock.readMs()};
     return PresenceChange.DRAINING;
@@ -132,6 +162,42 @@
     return isRestarted || (isRepeated && silentMs >= MAX_SILENCE_MS);
   }
 
+  /**
+   * Returns true if heartbeats go on for so long that the incarnation has not
+   * left: a former one with the same id has, and the clock was set back.
+   */
+  private isContinuing(heartbeat: UpstreamHeartbeat): boolean {
+    const match = this.leavings.compare(heartbeat);
+    if (match !== LeavingMatch.POSSIBLE || heartbeat.isDraining) return false;
+    const {sinceMs, lastMs, count} = this.countContinued();
+    return (
+      count >= MIN_CONTINUED_HEARTBEATS && lastMs - sinceMs >= MAX_SILENCE_MS
+    );
+  }
+
+  private countContinued(): ContinuedHeartbeats {
+    const nowMs = this.clock.readMs();
+    const known = this.continued ?? {
+      sinceMs: nowMs,
+      lastMs: -Infinity,
+      count: 0,
+    };
+    if (nowMs - known.lastMs < MIN_HEARTBEAT_GAP_MS) return known;
+    this.continued = {...known, lastMs: nowMs, count: known.count + 1};
+    return this.continued;
+  }
+
+  /** Starts to track an incarnation; it may have left already. */
+  private start(heartbeat: UpstreamHeartbeat, wasDraining: boolean): void {
+    const match = this.leavings.compare(heartbeat);
+    const isSuccessor = match === LeavingMatch.POSSIBLE && this.hasEnded;
+    if (isSuccessor) this.leavings.remove(heartbeat.instance);
+    const hasLeft = match !== LeavingMatch.NONE && !isSuccessor;
+    this.continued = undefined;
+    if (hasLeft) this.countContinued();
+    this.store(heartbeat, hasLeft || wasDraining ? -Infinity : undefined);
+  }
+
   private store(
     heartbeat: UpstreamHeartbeat,
     drainingSinceMs: number | undefined,
@@ -140,6 +206,9 @@
     this.olderHeartbeat = undefined;
     this.hasEnded = false;
     const {instance, slots, bornMs, sequence, coldMs, isDraining} = heartbeat;
+    if (isDraining) {
+      this.leavings.add({instance, bornMs, announcedMs: undefined});
+    }
     this.current = {
       instance,
       slots,
