Keep the leaving of an upstream beyond the process that acknowledged it

A heartbeat from before the DELETE arrived late, and the upstream got bookings 7 s after the acknowledgement; those that ran at its planned exit were cut off.

Cause: the leaving lived in the memory of a process, while the acknowledgement binds the machine. For a new process, "nobody has left here" and "I do not know" looked alike.

A node that is stopped while its upstream leaves and still listens, or that has no link, writes a row, which is read with the list of nodes and removed once another incarnation reports. A planned replacement writes nothing, and no acknowledgement waits.

Also: only a HELLO makes a replacement connection the present one; a frame before it (suspects, and now notices) did so too early.

Not covered: all nodes killed at once with SIGKILL.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -11,6 +11,7 @@
 } from '../constants.js';
 import type {
   CallResult,
+  LeavingNotice,
   NodeRecord,
   NodeReport,
   OutgoingCall,
@@ -27,6 +28,7 @@
   FRAME_REVISION,
   FrameKind,
   GOODBYE_REVISION,
+  LEAVINGS_REVISION,
   RESUME_REVISION,
   TOLERANT_REVISION,
 } from './frame.js';
@@ -60,6 +62,9 @@
   readonly handleFault: (message: string) => void;
   readonly listSuspects: () => readonly CrashSuspect[];
   readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
+  /** Lists what a node has to know that has just been linked. */
+  readonly listNotices: (node: string) => readonly LeavingNotice[];
+  readonly handleNotice: (notice: LeavingNotice) => void;
   /** Limits the bytes of incomplete frames of all links together. */
   readonly frameBudget: ByteBudget<FrameReader>;
 }
@@ -146,6 +151,13 @@
     this.send({kind: FrameKind.SUSPECTS, suspects});
   }
 
+  /** Sends a notice; returns whether the peer keeps it. */
+  sendNotice(notice: LeavingNotice): boolean {
+    if (this.peerRevision < TOLERANT_REVISION) return false;
+    this.send({kind: FrameKind.LEAVINGS, notice});
+    return this.peerRevision >= LEAVINGS_REVISION && this.socket.writable;
+  }
+
   /** Refuses new calls and ends the link after the last result. */
   close(): void {
     if (this.phase !== LinkPhase.OPEN) return;
@@ -215,6 +227,8 @@
           frame.node.service === this.parts.describeSelf().node.service;
         // Must precede the HELLO, after which the peer may count as started.
         this.sendSuspects(this.parts.listSuspects());
+        for (const notice of this.parts.listNotices(frame.node.node))
+          this.sendNotice(notice);
         send({
           kind: FrameKind.HELLO,
           node: this.parts.describeSelf().node,
@@ -254,6 +268,9 @@
       case FrameKind.SUSPECTS:
         this.parts.handleSuspects(frame.suspects);
         return;
+      case FrameKind.LEAVINGS:
+        this.parts.handleNotice(frame.notice);
+        return;
       case FrameKind.GET_NODES:
         send({kind: FrameKind.NODES, nodes: this.parts.listNodes()});
         return;
--- a/packages/sidecar/src/connection/frame.ts
+++ b/packages/sidecar/src/connection/frame.ts
@@ -2,6 +2,7 @@
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import type {
   CallResult,
+  LeavingNotice,
   NodeRecord,
   NodeReport,
   OutgoingCall,
@@ -27,6 +28,8 @@
   RESUME = 13,
   /** Answers RESUME, behind the results of calls that have ended. */
   RESUMED = 14,
+  /** Upstreams that a node, the sender or the receiver, has seen leave. */
+  LEAVINGS = 15,
 }
 
 /**
@@ -45,6 +48,9 @@
  */
 export const RESUME_REVISION = 3;
 
+/** First revision that keeps LEAVINGS for the node that they are about. */
+export const LEAVINGS_REVISION = 3;
+
 /** A message between two nodes. */
 export type Frame =
   | {
@@ -89,6 +95,7 @@
   | {readonly kind: FrameKind.NODES; readonly nodes: readonly NodeRecord[]}
   | {readonly kind: FrameKind.GOODBYE}
   | {readonly kind: FrameKind.RESUMED}
+  | {readonly kind: FrameKind.LEAVINGS; readonly notice: LeavingNotice}
   | {readonly kind: FrameKind.RESUME; readonly pendingIds: readonly number[]}
   | {
       readonly kind: FrameKind.SUSPECTS;
--- a/packages/sidecar/src/connection/frameFields.ts
+++ b/packages/sidecar/src/connection/frameFields.ts
@@ -31,10 +31,15 @@
   throw new FrameError('field is not a finite non-negative number');
 }
 
+/** Reads a safe integer. */
+export function readInteger(value: unknown): number {
+  if (Number.isSafeInteger(value)) return value as number;
+  throw new FrameError('field is not a safe integer');
+}
+
 /** Reads a safe integer that is not negative. */
 export function readCount(value: unknown): number {
-  if (Number.isSafeInteger(value)) return readAmount(value);
-  throw new FrameError('field is not a safe integer');
+  return readAmount(readInteger(value));
 }
 
 /** Reads a time in ms and caps it at what timers support. */
--- a/packages/sidecar/src/connection/frameReader.test.ts
+++ b/packages/sidecar/src/connection/frameReader.test.ts
@@ -50,6 +50,23 @@
     acknowledgedIds: [1],
   },
   {kind: FrameKind.RESUME, pendingIds: [1, 2]},
+  {
+    kind: FrameKind.HELLO,
+    node: NODE,
+    report: REPORT,
+    revision: FRAME_REVISION,
+    epoch: 1,
+  },
+  {
+    kind: FrameKind.LEAVINGS,
+    notice: {
+      node: 'a',
+      leavings: [
+        {instance: 'i-1', bornMs: 1, announcedMs: undefined},
+        {instance: 'i-2', bornMs: undefined, announcedMs: 2},
+      ],
+    },
+  },
   {kind: FrameKind.RESUMED},
 ];
 /** Values that replace each field, one after another. */
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -145,6 +145,8 @@
     handleConfiguration: () => undefined,
     listSuspects: () => [],
     handleSuspects: () => undefined,
+    listNotices: () => [],
+    handleNotice: () => undefined,
     readConfiguration: () => undefined,
     listNodes: () => [],
     handleFault: (message) => faults.push(message),
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -2,12 +2,14 @@
 import type {Socket} from 'node:net';
 import {Packr} from 'msgpackr';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
+import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {Importance} from 'sycamoreyoke/types';
 import type {
   CallResult,
   GateReason,
   HeaderList,
+  LeavingNotice,
   NodeRecord,
   NodeReport,
   OutgoingCall,
@@ -23,6 +25,7 @@
   readDelay,
   readFlag,
   readHeaders,
+  readInteger,
   readList,
   readMember,
   readName,
@@ -143,6 +146,8 @@
       return [kind, frame.nodes.map(buildNode)];
     case FrameKind.SUSPECTS:
       return [kind, buildCrashes(frame.suspects)];
+    case FrameKind.LEAVINGS:
+      return [kind, frame.notice.node, buildLeavings(frame.notice)];
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
     case FrameKind.GOODBYE:
@@ -206,6 +211,10 @@
       return {kind, nodes: readNodes(first)};
     case FrameKind.SUSPECTS:
       return {kind, suspects: readCrashes(first)};
+    case FrameKind.LEAVINGS: {
+      const node = readName(first);
+      return {kind, notice: {node, leavings: readLeavings(second)}};
+    }
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
     case FrameKind.GOODBYE:
@@ -278,6 +287,25 @@
   });
 }
 
+function buildLeavings({leavings}: LeavingNotice): Fields {
+  return leavings.map(({instance, bornMs, announcedMs}) => [
+    instance,
+    bornMs ?? null,
+    announcedMs ?? null,
+  ]);
+}
+
+function readLeavings(value: unknown): UpstreamLeaving[] {
+  return readList(value).map((fields) => {
+    const [instance, bornMs, announcedMs] = readList(fields);
+    return {
+      instance: readName(instance),
+      bornMs: bornMs === null ? undefined : readInteger(bornMs),
+      announcedMs: announcedMs === null ? undefined : readInteger(announcedMs),
+    };
+  });
+}
+
 function buildReport({configurationVersion, load}: NodeReport): ReportFields {
   return [
     configurationVersion,
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -3,7 +3,6 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
-import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {
   AVOID_MS,
   CLOSING_SILENCE_MS,
@@ -143,10 +142,9 @@
     sendFrame(this.socket, {kind: FrameKind.PING, report, sentMs});
   }
 
-  /** Sends crash suspects, if the node understands them. */
-  sendSuspects(suspects: readonly CrashSuspect[]): void {
-    if (this.peerRevision < TOLERANT_REVISION || suspects.length === 0) return;
-    this.write({kind: FrameKind.SUSPECTS, suspects});
+  /** Sends a frame of a kind that a node without revisions does not know. */
+  sendOptional(frame: Frame): void {
+    if (this.peerRevision >= TOLERANT_REVISION) this.write(frame);
   }
 
   /** Closes the link once all results have arrived, and does not redial. */
@@ -184,7 +182,7 @@
     const reader = new FrameReader({
       handle: (frame) => {
         if (this.socket === socket) this.receive(socket, frame);
-        else if (this.replacement === socket) this.checkReplacement(socket);
+        else if (frame.kind === FrameKind.HELLO) this.checkReplacement(socket);
       },
       budget: this.frameBudget,
       handleExcess: (message) => {
--- a/packages/sidecar/src/connection/peerServer.ts
+++ b/packages/sidecar/src/connection/peerServer.ts
@@ -5,6 +5,7 @@
 import type {Random} from 'sycamoreyoke/random';
 import {sampleEvenly} from 'sycamoreyoke/random';
 import {ANNOUNCED_LINKS, CLOSING_FLUSH_MS} from '../constants.js';
+import type {LeavingNotice} from '../types.js';
 import type {AcceptedLinkParts} from './acceptedLink.js';
 import {AcceptedLink} from './acceptedLink.js';
 import {LinkSessions} from './linkSessions.js';
@@ -52,6 +53,11 @@
     for (const link of this.links) link.sendSuspects(suspects);
   }
 
+  /** Sends a notice to all callers; returns how many of them keep it. */
+  sendNotice(notice: LeavingNotice): number {
+    return [...this.links].filter((link) => link.sendNotice(notice)).length;
+  }
+
   /**
    * Refuses new calls, ends each link after the result of its last call and
    * waits until the peers have read everything, for the given time at most.
--- a/packages/sidecar/src/process/fleetTask.test.ts
+++ b/packages/sidecar/src/process/fleetTask.test.ts
@@ -20,6 +20,7 @@
     decodeNode: (content) =>
       JSON.parse(Buffer.from(content).toString()) as NodeRecord,
     handleChange: () => undefined,
+    handleRemoval: () => undefined,
   });
   return {task, countWrites: () => writes};
 }
--- a/packages/sidecar/src/process/fleetTask.ts
+++ b/packages/sidecar/src/process/fleetTask.ts
@@ -13,6 +13,8 @@
   readonly encodeNode: (node: NodeRecord) => Uint8Array;
   readonly decodeNode: (content: Uint8Array) => NodeRecord | undefined;
   readonly handleChange: (nodes: readonly NodeRecord[]) => void;
+  /** Called when this node removes the row of one that is gone. */
+  readonly handleRemoval: (node: string) => void;
 }
 
 /** Merges the rows of the store with what the nodes report over links. */
@@ -105,6 +107,7 @@
       record(EventCode.MEMBER_DEAD, {member, cause: 'unreachable'});
       try {
         await store.removeRow(member, version);
+        this.parts.handleRemoval(member);
       } catch (error) {
         const {message} = error as Error;
         record(EventCode.NODE_ROW_DELAYED, {message});
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -67,6 +67,8 @@
     handleActivity: () => undefined,
     listSuspects: () => [],
     handleSuspects: () => undefined,
+    listNotices: () => [],
+    handleNotice: () => undefined,
     frameBudget: createFrameBudget(),
   });
 }
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -25,6 +25,7 @@
   LINK_UPDATE_MS,
 } from '../constants.js';
 import type {
+  LeavingNotice,
   NodeRecord,
   NodeReport,
   OutgoingCall,
@@ -57,6 +58,9 @@
   readonly handleReplacedNode: (node: NodeRecord) => void;
   readonly listSuspects: () => readonly CrashSuspect[];
   readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
+  /** Lists what a node has to know that has just been linked. */
+  readonly listNotices: (node: string) => readonly LeavingNotice[];
+  readonly handleNotice: (notice: LeavingNotice) => void;
   /** Whether to ask peers for the node list, as the store is unreachable. */
   readonly needsNodes: () => boolean;
   /** Called when bytes of a node are read. */
@@ -180,7 +184,7 @@
   sendSuspects(suspects: readonly CrashSuspect[]): void {
     const {service} = this.parts.self;
     for (const link of this.linksByService.get(service) ?? []) {
-      link.sendSuspects(suspects);
+      link.sendOptional({kind: FrameKind.SUSPECTS, suspects});
     }
   }
 
@@ -301,8 +305,13 @@
       if (!isSameProcess(node, link.node)) this.parts.handleNode(node);
       if (node.node !== link.node.node)
         this.parts.handleReplacedNode(link.node);
-      if (node.service === this.parts.self.service) {
-        link.sendSuspects(this.parts.listSuspects());
+      const suspects = this.parts.listSuspects();
+      const isSameService = node.service === this.parts.self.service;
+      if (isSameService && suspects.length > 0) {
+        link.sendOptional({kind: FrameKind.SUSPECTS, suspects});
+      }
+      for (const notice of this.parts.listNotices(node.node)) {
+        link.sendOptional({kind: FrameKind.LEAVINGS, notice});
       }
       if (this.parts.needsNodes()) link.write({kind: FrameKind.GET_NODES});
     },
@@ -311,6 +320,8 @@
         this.parts.handleConfiguration(frame.content);
       } else if (frame.kind === FrameKind.SUSPECTS) {
         this.parts.handleSuspects(frame.suspects);
+      } else if (frame.kind === FrameKind.LEAVINGS) {
+        this.parts.handleNotice(frame.notice);
       } else if (frame.kind === FrameKind.NODES) {
         for (const node of frame.nodes) this.parts.handleNode(node);
       }
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -10,6 +10,7 @@
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
 import type {GateAction} from 'sycamoreyoke/process/types';
 import {Completion, GateActionKind} from 'sycamoreyoke/process/types';
+import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import type {
   UpstreamHeartbeat,
   UpstreamPresence,
@@ -179,7 +180,16 @@
     const change = this.parts.presence.recordLeaving(instance);
     if (change === PresenceChange.NONE) return;
     recordPresence(this.parts.record, PresenceChange.DRAINING, instance, 0);
-    if (change === PresenceChange.DRAINING) this.parts.handleChange();
+    this.parts.handleChange();
+  }
+
+  /** Applies leavings that an earlier process of the node acknowledged. */
+  mergeLeavings(leavings: readonly UpstreamLeaving[]): void {
+    const change = this.parts.presence.mergeLeavings(leavings);
+    if (change === PresenceChange.NONE) return;
+    const instances = leavings.map(({instance}) => instance).join(' ');
+    this.parts.record(EventCode.LEAVING_LEARNED, {instances});
+    this.parts.handleChange();
   }
 
   /** Offers a call to the gate; the handler is called once with the result. */
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -100,6 +100,7 @@
     parts.lifecycle.stop = schedule;
     parts.record(EventCode.NODE_LEAVING, {cause: signal});
     parts.peerServer.announceReport();
+    parts.leavings.startHandover();
     await this.takeRequests(schedule);
     await parts.clients.stopAccepting();
     const leftMs = Math.max(0, schedule.answerMs - parts.clock.readMs());
@@ -108,6 +109,7 @@
     await this.endConnections(schedule);
     await closingLinks;
     parts.clients.closeAll();
+    await parts.leavings.finishHandover(schedule.exitMs);
     // Let the closed sockets log their events first.
     await wait(0);
     clearInterval(this.rowRemovalTimer);
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -2,6 +2,7 @@
 import {isIP} from 'node:net';
 import type {Importance} from 'sycamoreyoke/types';
 import type {SendEnd} from 'sycamoreyoke/request/resend';
+import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
 import type {RouteTable} from 'sycamoreyoke/version/routeTable';
 
@@ -101,6 +102,13 @@
   readonly address: Address;
 }
 
+/** The upstreams that a node has acknowledged to leave. */
+export interface LeavingNotice {
+  /** Name of the node. */
+  readonly node: string;
+  readonly leavings: readonly UpstreamLeaving[];
+}
+
 /** A version of the configuration and the bytes it was decoded from. */
 export interface VersionedConfiguration {
   readonly table: RouteTable;
@@ -162,7 +170,10 @@
 export enum StoreTable {
   /** One row with the active configuration. */
   CONFIGURATION = 'configuration',
-  /** One row per node and per request refused for crashing upstreams. */
+  /**
+   * One row per node, per request refused for crashing upstreams, and per node
+   * that was stopped while its upstream was leaving.
+   */
   NODES = 'nodes',
 }
 
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -12,6 +12,7 @@
 import {createRetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {isStarted} from 'sycamoreyoke/process/startPhase';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
+import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import type {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
 import {
   chooseWatchMs,
@@ -43,6 +44,7 @@
 import type {DecisionLog} from './process/decisionLog.js';
 import {runAfterTurn} from './process/eventLoop.js';
 import {FleetTask} from './process/fleetTask.js';
+import {LeavingTask, isLeavingRow} from './process/leavingTask.js';
 import {LoopWatch} from './process/loopWatch.js';
 import {computeMemoryLimits} from './process/memoryLimits.js';
 import {PeerTask} from './process/peerTask.js';
@@ -56,6 +58,7 @@
   NodeReport,
   ReloadableSettings,
   SidecarSettings,
+  StoredRow,
   WireProtocol,
 } from './types.js';
 import {StoreTable} from './types.js';
@@ -70,6 +73,8 @@
   readonly decodeNode: (content: Uint8Array) => NodeRecord | undefined;
   readonly encodeMark: (mark: CrashMark) => Uint8Array;
   readonly decodeMark: (content: Uint8Array) => CrashMark | undefined;
+  readonly encodeLeavings: (leavings: readonly UpstreamLeaving[]) => Uint8Array;
+  readonly decodeLeavings: (content: Uint8Array) => readonly UpstreamLeaving[];
 }
 
 /** The parts of a sidecar that its process and its adapter use. */
@@ -83,6 +88,7 @@
   readonly metrics: Metrics;
   readonly upstream: UpstreamTask;
   readonly crashes: CrashTask;
+  readonly leavings: LeavingTask;
   readonly origin: OriginHandler;
   readonly clients: ClientListener;
   readonly peers: PeerTask;
@@ -154,6 +160,20 @@
       peerServer.sendSuspects(suspects);
     },
   });
+  const presence = container.get<UpstreamPresence>(TOKENS.presence);
+  const pool = container.get<UpstreamPool>(TOKENS.pool);
+  const leavings: LeavingTask = new LeavingTask({
+    node: settings.node,
+    clock,
+    record,
+    store,
+    encodeLeavings: adapter.encodeLeavings,
+    decodeLeavings: adapter.decodeLeavings,
+    listOwn: () => presence.listLeavings(),
+    applyOwn: (learned) => upstream.mergeLeavings(learned),
+    sendNotice: (notice) => peerServer.sendNotice(notice),
+    probeUpstream: (handleNoListener) => pool.probe(handleNoListener),
+  });
   const upstream: UpstreamTask = new UpstreamTask({
     service: settings.service,
     get drainMs() {
@@ -161,9 +181,9 @@
     },
     clock,
     wire,
-    presence: container.get<UpstreamPresence>(TOKENS.presence),
+    presence,
     callParents: new CallParents(),
-    pool: container.get<UpstreamPool>(TOKENS.pool),
+    pool,
     crashes,
     hasTimeToStart: (deadlineMs) =>
       lifecycle.stop?.hasTimeToStart(clock.readMs(), deadlineMs) ?? true,
@@ -176,7 +196,10 @@
     },
     report,
     record,
-    handleChange: () => peerServer.announceReport(),
+    handleChange: () => {
+      peerServer.announceReport();
+      leavings.handleUpstreamChange();
+    },
   });
   const startedMs = clock.readMs();
   let hasStarted = false;
@@ -227,6 +250,8 @@
     handleReplacedNode: (node) => fleet.removeNode(node),
     listSuspects: () => crashes.listSuspects(),
     handleSuspects: (suspects) => crashes.merge(suspects),
+    listNotices: (node) => leavings.listNotices(node),
+    handleNotice: (notice) => leavings.handleNotice(notice),
     needsNodes: () => !nodeFollower.hasContact(),
     handleActivity: () => loop.observe(),
     frameBudget,
@@ -238,6 +263,7 @@
     encodeNode: adapter.encodeNode,
     decodeNode: adapter.decodeNode,
     handleChange: (nodes) => peers.update(nodes),
+    handleRemoval: (node) => void leavings.removeRow(node),
   });
   const peerServer: PeerServer = new PeerServer({
     clock,
@@ -252,6 +278,8 @@
       configuration.adopt(content, ConfigurationSource.PEER),
     listSuspects: () => crashes.listSuspects(),
     handleSuspects: (suspects) => crashes.merge(suspects),
+    listNotices: (node) => leavings.listNotices(node),
+    handleNotice: (notice) => leavings.handleNotice(notice),
     readConfiguration: () => configuration.read()?.content,
     listNodes: () => fleet.list(),
     handleFault: (message) =>
@@ -270,22 +298,20 @@
       chooseWatchMs(random, computeMeanWatchMs(fleet.list().length)),
     handleSilence: () => peers.probeAll(),
   });
+  /** Handles the rows that describe no node; returns those that do. */
+  const handleOtherRows = (rows: readonly StoredRow[]) => {
+    crashes.handleRows(rows.filter(isCrashRow));
+    leavings.handleRows(rows.filter(isLeavingRow));
+    return rows.filter((row) => !isCrashRow(row) && !isLeavingRow(row));
+  };
   const nodeFollower: StoreFollower = new StoreFollower({
     clock,
     store,
     table: StoreTable.NODES,
     record,
-    handleAllRows: (rows, version) => {
-      crashes.handleRows(rows.filter(isCrashRow));
-      fleet.handleAllRows(
-        rows.filter((row) => !isCrashRow(row)),
-        version,
-      );
-    },
-    handleChangedRows: (rows) => {
-      crashes.handleRows(rows.filter(isCrashRow));
-      fleet.handleChangedRows(rows.filter((row) => !isCrashRow(row)));
-    },
+    handleAllRows: (rows, version) =>
+      fleet.handleAllRows(handleOtherRows(rows), version),
+    handleChangedRows: (rows) => fleet.handleChangedRows(handleOtherRows(rows)),
     choosePauseMs: (changesInARow) =>
       computeListPauseMs(fleet.list().length, changesInARow),
     chooseWaitMs: () => chooseWatchMs(random, NODES_WATCH_MEAN_MS),
@@ -357,6 +383,7 @@
     metrics,
     upstream,
     crashes,
+    leavings,
     origin,
     clients,
     peers,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -289,6 +289,14 @@
     'instance',
     'running',
   ),
+  [EventCode.LEAVING_ROW_DELAYED]: describe(
+    'The row of a leaving upstream could not be written or removed.',
+    'message',
+  ),
+  [EventCode.LEAVING_LEARNED]: describe(
+    'An earlier process of this node has acknowledged that upstreams leave.',
+    'instances',
+  ),
   [EventCode.PLATFORM_UNAVAILABLE]: describe(
     "The platform's service stopped answering.",
     'service',
--- a/packages/sycamoreyoke/src/process/upstreamLeavings.ts
+++ b/packages/sycamoreyoke/src/process/upstreamLeavings.ts
@@ -23,7 +23,7 @@
 }
 
 /** An upstream leaves once; more than one at a time means lost heartbeats. */
-const MAX_LEAVINGS = 8;
+export const MAX_LEAVINGS = 8;
 
 /** Keeps the latest leavings for as long as the process runs. */
 export class UpstreamLeavings {
--- a/packages/sycamoreyoke/src/process/upstreamPresence.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.ts
@@ -1,5 +1,6 @@
 /** Tracks the local upstream of a node from its heartbeats. */
 import type {Clock} from '../clock.js';
+import type {UpstreamLeaving} from './upstreamLeavings.js';
 import {LeavingMatch, UpstreamLeavings} from './upstreamLeavings.js';
 
 /** A validated heartbeat of an upstream. */
@@ -129,6 +130,29 @@
     return PresenceChange.DRAINING;
   }
 
+  /** Lists the leavings that no later incarnation has replaced. */
+  listLeavings(): readonly UpstreamLeaving[] {
+    const known = this.current;
+    const replacedMs =
+      known?.drainingSinceMs === undefined ? known?.bornMs : undefined;
+    return this.leavings.list().filter(({bornMs = 0, announcedMs = bornMs}) => {
+      return replacedMs === undefined || announcedMs > replacedMs;
+    });
+  }
+
+  /** Adds leavings that an earlier process of the node acknowledged. */
+  mergeLeavings(leavings: readonly UpstreamLeaving[]): PresenceChange {
+    const added = leavings.filter((leaving) => this.leavings.add(leaving));
+    if (added.length === 0) return PresenceChange.NONE;
+    const known = this.current;
+    const isDraining = known?.drainingSinceMs !== undefined;
+    if (!known || isDraining) return PresenceChange.UPDATED;
+    const hasLeft = this.leavings.compare(known) !== LeavingMatch.NONE;
+    if (!hasLeft) return PresenceChange.UPDATED;
+    this.current = {...known, drainingSinceMs: -Infinity};
+    return PresenceChange.DRAINING;
+  }
+
   /** Records that nothing listens at the upstream's address any more. */
   recordEnd(): void {
     this.hasEnded = true;
