--- a/packages/sycamoreyoke/src/process/upstreamPresence.test.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.test.ts
@@ -173,3 +173,27 @@
     }
   }
 });
+
+const LEAVING = {instance: 'i-1', bornMs: 1_000, announcedMs: undefined};
+
+// Guards against a restarted node that hears of a leaving only after a late
+// heartbeat, or that mistakes a successor for the upstream that left.
+it('presence: a leaving learned later ends the work', () => {
+  const {presence} = observeAll({});
+  expect(presence.mergeLeavings([LEAVING])).to.equal(PresenceChange.DRAINING);
+  expect(presence.read()?.drainingSinceMs).to.equal(-Infinity);
+  expect(presence.mergeLeavings([LEAVING])).to.equal(PresenceChange.NONE);
+  const {presence: later} = observeAll({bornMs: 2_000});
+  expect(later.mergeLeavings([LEAVING])).to.equal(PresenceChange.UPDATED);
+  expect(later.read()?.drainingSinceMs).to.equal(undefined);
+});
+
+// Guards against telling other nodes of leavings that are over.
+it('presence: a leaving is listed until a later incarnation reports', () => {
+  const {presence} = observeAll({});
+  expect(presence.listLeavings()).to.deep.equal([]);
+  presence.observe({...HEARTBEAT, sequence: 6, isDraining: true});
+  expect(presence.listLeavings()).to.deep.equal([LEAVING]);
+  presence.observe({...HEARTBEAT, instance: 'i-2', bornMs: 2_000});
+  expect(presence.listLeavings()).to.deep.equal([]);
+});
