Join the small chunks of request bodies

Cause: the origin kept one Buffer for each chunk, some hundred bytes of the heap each. Bodies of responses, frames and rows go through ByteList, which joins small pieces; bodies of requests did not.

Change: they do now, and what was read of a body that is too large is dropped.

Evidence: on the code before, 'small chunks' is red with 2 MB in chunks of one byte, which ends the process; the two tests after it are red because it is gone.

--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -18,6 +18,7 @@
 import type {CallResult, HeaderList, WireProtocol} from '../types.js';
 import {GateReason} from '../types.js';
 import type {Answer, RoutedRequest} from './originCall.js';
+import {ByteList} from '../connection/byteList.js';
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
@@ -338,20 +339,15 @@
   maxBytes: number,
   handle: (body: Uint8Array | undefined) => void,
 ): void {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  let isTooLarge = false;
+  let bytes: ByteList | undefined = new ByteList();
   request.on('data', (chunk: Buffer) => {
-    size += chunk.length;
-    if (size <= maxBytes) {
-      chunks.push(chunk);
-    } else if (!isTooLarge) {
-      isTooLarge = true;
-      handle(undefined);
-    }
+    bytes?.add(chunk);
+    if (!bytes || bytes.readLength() <= maxBytes) return;
+    bytes = undefined;
+    handle(undefined);
   });
   request.on('end', () => {
-    if (!isTooLarge) handle(Buffer.concat(chunks));
+    if (bytes) handle(bytes.join());
   });
   request.on('error', () => request.destroy());
 }
