--- a/packages/sidecar/src/connection/frame.ts
+++ b/packages/sidecar/src/connection/frame.ts
@@ -28,7 +28,10 @@
   RESUME = 13,
   /** Answers RESUME, behind the results of calls that have ended. */
   RESUMED = 14,
-  /** Upstreams that a node, the sender or the receiver, has seen leave. */
+  /**
+   * Upstreams whose leaving a node has acknowledged: the sender, or the receiver
+   * before it was restarted.
+   */
   LEAVINGS = 15,
 }
 
