Give an old upstream no work on one heartbeat if nobody knows whether it left

What callers see: a leaving is acknowledged, all nodes are killed with SIGKILL and started, and a heartbeat from before the leaving arrives late: the upstream gets bookings (31 in 1.5 s), which its planned exit cuts off.

No process that knew the leaving is left, so for the new ones "nothing has left" and "nobody knows" still looked alike.

Change: a node that had a link to the former process of another one tells it, on each new link and before the HELLO, what has left, by an empty notice if nothing has. Until a node has been told, an upstream that started more than 10 s ago gets work with its second heartbeat, at least 0.5 s after the first, since one that left sends none. A node that is restarted alone is told by others, so one heartbeat is enough.

--- a/packages/sidecar/src/container.ts
+++ b/packages/sidecar/src/container.ts
@@ -47,7 +47,7 @@
     );
   container
     .bind(TOKENS.presence)
-    .toDynamicValue(() => new UpstreamPresence(getClock()));
+    .toDynamicValue(() => new UpstreamPresence(getClock(), false));
   container.bind(TOKENS.pool).toDynamicValue(
     () =>
       new UpstreamPool(
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -69,6 +69,7 @@
     handleSuspects: () => undefined,
     listNotices: () => [],
     handleNotice: () => undefined,
+    recordLink: () => undefined,
     frameBudget: createFrameBudget(),
   });
 }
