Revert "Give an old upstream no work on one heartbeat if nobody knows whether it left"

But after such a kill nobody can tell any node that nothing has left, so each upstream waits for its second heartbeat, 1.5 s later.

What to try next: ask the upstream itself. Its status check answers 200 only while it is healthy and not leaving, and names the instance, so the wait is one round trip.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -63,7 +63,7 @@
   readonly listSuspects: () => readonly CrashSuspect[];
   readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
   /** Lists what a node has to know that has just been linked. */
-  readonly listNotices: (node: NodeRecord) => readonly LeavingNotice[];
+  readonly listNotices: (node: string) => readonly LeavingNotice[];
   readonly handleNotice: (notice: LeavingNotice) => void;
   /** Limits the bytes of incomplete frames of all links together. */
   readonly frameBudget: ByteBudget<FrameReader>;
@@ -227,7 +227,7 @@
           frame.node.service === this.parts.describeSelf().node.service;
         // Must precede the HELLO, after which the peer may count as started.
         this.sendSuspects(this.parts.listSuspects());
-        for (const notice of this.parts.listNotices(frame.node))
+        for (const notice of this.parts.listNotices(frame.node.node))
           this.sendNotice(notice);
         send({
           kind: FrameKind.HELLO,
--- a/packages/sidecar/src/container.ts
+++ b/packages/sidecar/src/container.ts
@@ -47,7 +47,7 @@
     );
   container
     .bind(TOKENS.presence)
-    .toDynamicValue(() => new UpstreamPresence(getClock(), false));
+    .toDynamicValue(() => new UpstreamPresence(getClock()));
   container.bind(TOKENS.pool).toDynamicValue(
     () =>
       new UpstreamPool(
--- a/packages/sidecar/src/process/leavingTask.test.ts
+++ b/packages/sidecar/src/process/leavingTask.test.ts
@@ -1,13 +1,12 @@
 import {expect} from 'chai';
 import {VirtualClock} from 'sycamoreyoke/clock';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
-import {HOST, createNode, waitFor} from '../connection/linkHarness.test.js';
+import {waitFor} from '../connection/linkHarness.test.js';
 import type {LeavingNotice, StoredRow} from '../types.js';
 import {LeavingTask} from './leavingTask.js';
 
 const LEAVING = {instance: 'i-1', bornMs: 1_000, announcedMs: 9_000};
 const OWN_ROW = 'leaving/self';
-const ADDRESS = {host: HOST, port: 1};
 /** Longer than a notice is kept, ms. */
 const OLD_MS = 300_001;
 
@@ -29,7 +28,6 @@
   const sent: LeavingNotice[] = [];
   const rows = new Map<string, string>();
   let failuresLeft = failures;
-  let confirmations = 0;
   const task = new LeavingTask({
     node: 'self',
     clock,
@@ -48,7 +46,6 @@
       JSON.parse(Buffer.from(content).toString()) as UpstreamLeaving[],
     listOwn: () => own,
     applyOwn: (leavings) => void own.push(...leavings),
-    handleFormerKnown: () => void (confirmations += 1),
     sendNotice: (notice) => {
       sent.push(notice);
       return holders;
@@ -57,8 +54,7 @@
       if (!hasListener) handleNoListener();
     },
   });
-  const countConfirmations = () => confirmations;
-  return {task, clock, own, sent, rows, countConfirmations};
+  return {task, clock, own, sent, rows};
 }
 
 function createRow(leavings: readonly UpstreamLeaving[]): StoredRow {
@@ -127,10 +123,10 @@
   const {task, clock} = createTask();
   const notice = {node: 'a', leavings: [LEAVING]};
   task.handleNotice(notice);
-  expect(task.listNotices(createNode('b', ADDRESS))).to.deep.equal([]);
-  expect(task.listNotices(createNode('a', ADDRESS))).to.deep.equal([notice]);
+  expect(task.listNotices('b')).to.deep.equal([]);
+  expect(task.listNotices('a')).to.deep.equal([notice]);
   clock.advance(OLD_MS);
-  expect(task.listNotices(createNode('a', ADDRESS))).to.deep.equal([]);
+  expect(task.listNotices('a')).to.deep.equal([]);
 });
 
 // Guards against a restarted node that does not use what others and the store
@@ -142,25 +138,8 @@
   expect(own).to.deep.equal([LEAVING]);
   task.handleRows([createRow([{...LEAVING, instance: 'i-0'}])]);
   expect(own.map(({instance}) => instance)).to.deep.equal(['i-1', 'i-0']);
-  expect(task.listNotices(createNode('b', ADDRESS))).to.have.lengthOf(1);
+  expect(task.listNotices('b')).to.have.lengthOf(1);
   own.splice(0);
   task.handleUpstreamChange();
   await waitFor(() => !rows.has(OWN_ROW));
 });
-
-// Guards against a restarted node that waits for a second heartbeat although
-// others know that no upstream of it has left.
-it('leaving task: a restarted node is told that nothing has left', () => {
-  const {task, countConfirmations} = createTask();
-  const node = createNode('a', ADDRESS);
-  expect(task.listNotices(node)).to.deep.equal([]);
-  task.recordLink(node);
-  expect(task.listNotices(node)).to.deep.equal([]);
-  const restarted = {...node, incarnation: 'a-2'};
-  const notice = {node: 'a', leavings: []};
-  expect(task.listNotices(restarted)).to.deep.equal([notice]);
-  task.handleNotice(notice);
-  expect(countConfirmations()).to.equal(0);
-  task.handleNotice({node: 'self', leavings: []});
-  expect(countConfirmations()).to.equal(1);
-});
--- a/packages/sidecar/src/process/leavingTask.ts
+++ b/packages/sidecar/src/process/leavingTask.ts
@@ -9,12 +9,7 @@
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import {MAX_LEAVINGS} from 'sycamoreyoke/process/upstreamLeavings';
 import {STORE_RETRY_MAX_MS} from '../constants.js';
-import type {
-  FleetStore,
-  LeavingNotice,
-  NodeRecord,
-  StoredRow,
-} from '../types.js';
+import type {FleetStore, LeavingNotice, StoredRow} from '../types.js';
 
 /** Dependencies of the task. */
 export interface LeavingTaskParts {
@@ -29,8 +24,6 @@
   readonly listOwn: () => readonly UpstreamLeaving[];
   /** Applies leavings that an earlier process of the node acknowledged. */
   readonly applyOwn: (leavings: readonly UpstreamLeaving[]) => void;
-  /** Called when a node has told what it knew of an earlier process. */
-  readonly handleFormerKnown: () => void;
   /** Sends a notice to the linked nodes; returns how many keep it. */
   readonly sendNotice: (notice: LeavingNotice) => number;
   /** Calls back if nothing listens at the upstream's address any more. */
@@ -60,8 +53,6 @@
 export class LeavingTask {
   private readonly notices = new Map<string, KeptNotice>();
   private readonly rowVersions = new Map<string, number>();
-  /** Incarnations of the nodes to which this one has had a link. */
-  private readonly linkedIncarnations = new Map<string, string>();
   private isStopping = false;
   /** Leavings that the other nodes were last told of, as JSON. */
   private announcedContent = '';
@@ -91,37 +82,23 @@
     if (holders === 0 || this.isStopping) this.scheduleWrite();
   }
 
-  /**
-   * Lists what a node has to know that has just been linked. A node that knew an
-   * earlier process of it tells so, by an empty notice if nothing has left.
-   */
-  listNotices(peer: NodeRecord): readonly LeavingNotice[] {
+  /** Lists what a node has to know that has just been linked. */
+  listNotices(peer: string): readonly LeavingNotice[] {
     const {node, clock} = this.parts;
     const leavings = this.parts.listOwn();
-    const kept = this.notices.get(peer.node);
+    const kept = this.notices.get(peer);
     const isKept =
       kept !== undefined && clock.readMs() - kept.learnedMs < NOTICE_MEMORY_MS;
-    const linked = this.linkedIncarnations.get(peer.node);
-    const isRestarted = linked !== undefined && linked !== peer.incarnation;
-    const keptLeavings = isKept ? kept.leavings : [];
     return [
       ...(leavings.length > 0 ? [{node, leavings}] : []),
-      ...(isKept || isRestarted
-        ? [{node: peer.node, leavings: keptLeavings}]
-        : []),
+      ...(isKept ? [{node: peer, leavings: kept.leavings}] : []),
     ];
   }
 
-  /** Records that a link to a node is open, which tells of its leavings. */
-  recordLink({node, incarnation}: NodeRecord): void {
-    this.linkedIncarnations.set(node, incarnation);
-  }
-
   /** Applies a notice about the own upstream, and keeps one about another. */
   handleNotice({node, leavings}: LeavingNotice): void {
     if (node === this.parts.node) {
       this.parts.applyOwn(leavings);
-      this.parts.handleFormerKnown();
       return;
     }
     this.notices.delete(node);
@@ -154,7 +131,6 @@
 
   /** Removes the row of a node that is gone, or whose upstream is another. */
   async removeRow(node: string): Promise<void> {
-    this.linkedIncarnations.delete(node);
     const version = this.rowVersions.get(node);
     if (version === undefined) return;
     this.rowVersions.delete(node);
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -69,7 +69,6 @@
     handleSuspects: () => undefined,
     listNotices: () => [],
     handleNotice: () => undefined,
-    recordLink: () => undefined,
     frameBudget: createFrameBudget(),
   });
 }
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -59,10 +59,8 @@
   readonly listSuspects: () => readonly CrashSuspect[];
   readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
   /** Lists what a node has to know that has just been linked. */
-  readonly listNotices: (node: NodeRecord) => readonly LeavingNotice[];
+  readonly listNotices: (node: string) => readonly LeavingNotice[];
   readonly handleNotice: (notice: LeavingNotice) => void;
-  /** Called when a link to a node is open. */
-  readonly recordLink: (node: NodeRecord) => void;
   /** Whether to ask peers for the node list, as the store is unreachable. */
   readonly needsNodes: () => boolean;
   /** Called when bytes of a node are read. */
@@ -312,10 +310,9 @@
       if (isSameService && suspects.length > 0) {
         link.sendOptional({kind: FrameKind.SUSPECTS, suspects});
       }
-      for (const notice of this.parts.listNotices(node)) {
+      for (const notice of this.parts.listNotices(node.node)) {
         link.sendOptional({kind: FrameKind.LEAVINGS, notice});
       }
-      this.parts.recordLink(node);
       if (this.parts.needsNodes()) link.write({kind: FrameKind.GET_NODES});
     },
     handleFrame: (_link, frame) => {
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -183,12 +183,6 @@
     this.parts.handleChange();
   }
 
-  /** Gives the upstream work whose leaving no earlier process has seen. */
-  markFormerKnown(): void {
-    const change = this.parts.presence.markFormerKnown();
-    if (change !== PresenceChange.NONE) this.parts.handleChange();
-  }
-
   /** Applies leavings that an earlier process of the node acknowledged. */
   mergeLeavings(leavings: readonly UpstreamLeaving[]): void {
     const change = this.parts.presence.mergeLeavings(leavings);
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -171,7 +171,6 @@
     decodeLeavings: adapter.decodeLeavings,
     listOwn: () => presence.listLeavings(),
     applyOwn: (learned) => upstream.mergeLeavings(learned),
-    handleFormerKnown: () => upstream.markFormerKnown(),
     sendNotice: (notice) => peerServer.sendNotice(notice),
     probeUpstream: (handleNoListener) => pool.probe(handleNoListener),
   });
@@ -253,7 +252,6 @@
     handleSuspects: (suspects) => crashes.merge(suspects),
     listNotices: (node) => leavings.listNotices(node),
     handleNotice: (notice) => leavings.handleNotice(notice),
-    recordLink: (node) => leavings.recordLink(node),
     needsNodes: () => !nodeFollower.hasContact(),
     handleActivity: () => loop.observe(),
     frameBudget,
--- a/packages/sycamoreyoke/src/process/upstreamPresence.test.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.test.ts
@@ -197,38 +197,3 @@
   presence.observe({...HEARTBEAT, instance: 'i-2', bornMs: 2_000});
   expect(presence.listLeavings()).to.deep.equal([]);
 });
-
-/** The presence of a node of which nobody knows whether its upstream left. */
-function createUnknown(nowMs = 60_000) {
-  const clock = new VirtualClock(new Date(nowMs));
-  const presence = new UpstreamPresence(clock, false);
-  presence.observe(HEARTBEAT);
-  return {clock, presence};
-}
-
-// Guards against work for an upstream that has left, after all nodes that knew
-// were killed.
-it('presence: a late heartbeat alone gives no work if nobody knows', () => {
-  const {clock, presence} = createUnknown();
-  expect(presence.read()).to.equal(undefined);
-  presence.observe({...HEARTBEAT, sequence: 6});
-  clock.advance(60_000);
-  expect(presence.read()).to.equal(undefined);
-});
-
-// Guards against keeping work from upstreams that serve, or that are new.
-it('presence: an upstream is confirmed by others or by its next heartbeat', () => {
-  const {clock, presence} = createUnknown();
-  clock.advance(1_500);
-  const next = {...HEARTBEAT, sequence: 6};
-  expect(presence.observe(next)).to.equal(PresenceChange.UPDATED);
-  expect(presence.read()?.instance).to.equal('i-1');
-  const {presence: told} = createUnknown();
-  expect(told.markFormerKnown()).to.equal(PresenceChange.UPDATED);
-  expect(told.read()?.instance).to.equal('i-1');
-  const {presence: early} = createUnknown(HEARTBEAT.bornMs + 9_000);
-  expect(early.read()?.instance).to.equal('i-1');
-  const {presence: replaced} = createUnknown();
-  replaced.observe({...HEARTBEAT, instance: 'i-2', bornMs: 2_000});
-  expect(replaced.read()?.instance).to.equal('i-2');
-});
--- a/packages/sycamoreyoke/src/process/upstreamPresence.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.ts
@@ -25,9 +25,6 @@
 const MIN_HEARTBEAT_GAP_MS = 500;
 const MIN_CONTINUED_HEARTBEATS = 4;
 
-/** An upstream that leaves has served for longer than this. */
-const MIN_LEAVING_AGE_MS = 10_000;
-
 /** Heartbeats of an incarnation that has possibly left. */
 interface ContinuedHeartbeats {
   readonly sinceMs: number;
@@ -74,18 +71,10 @@
   private readonly leavings = new UpstreamLeavings();
   private continued: ContinuedHeartbeats | undefined;
 
-  /** When the current upstream was first heard, while it may have left. */
-  private unconfirmedSinceMs: number | undefined;
-
-  constructor(
-    private readonly clock: Clock,
-    /** Whether all leavings that former processes acknowledged are known. */
-    private isFormerKnown = true,
-  ) {}
+  constructor(private readonly clock: Clock) {}
 
-  /** Returns the upstream; undefined while it may have left unnoticed. */
   read(): PresentUpstream | undefined {
-    return this.unconfirmedSinceMs === undefined ? this.current : undefined;
+    return this.current;
   }
 
   /** Applies a heartbeat and returns what it changed. */
@@ -94,9 +83,6 @@
     if (!known) {
       // A former process may have acknowledged the leaving long ago.
       this.start(heartbeat, heartbeat.isDraining);
-      this.unconfirmedSinceMs = this.isPossiblyLeft(heartbeat)
-        ? this.clock.readMs()
-        : undefined;
       return PresenceChange.STARTED;
     }
     if (isNewer(heartbeat, known)) {
@@ -119,9 +105,7 @@
     }
     const wasDraining = known.drainingSinceMs !== undefined;
     this.store(heartbeat, known.drainingSinceMs);
-    const isConfirmed = this.verifyByHeartbeat();
     if (wasDraining) return PresenceChange.NONE;
-    if (isConfirmed && !heartbeat.isDraining) return PresenceChange.UPDATED;
     if (heartbeat.isDraining) return PresenceChange.DRAINING;
     return known.slots === heartbeat.slots
       ? PresenceChange.NONE
@@ -146,17 +130,6 @@
     return PresenceChange.DRAINING;
   }
 
-  /**
-   * Records that a node which was linked to a former process has told what it
-   * knows of its leavings.
-   */
-  markFormerKnown(): PresenceChange {
-    this.isFormerKnown = true;
-    if (this.unconfirmedSinceMs === undefined) return PresenceChange.NONE;
-    this.unconfirmedSinceMs = undefined;
-    return PresenceChange.UPDATED;
-  }
-
   /** Lists the leavings that no later incarnation has replaced. */
   listLeavings(): readonly UpstreamLeaving[] {
     const known = this.current;
@@ -238,25 +211,6 @@
     return this.continued;
   }
 
-  /**
-   * Whether a former process may have acknowledged the leaving of the sender,
-   * whose heartbeat is late. One that has just started has hardly left.
-   */
-  private isPossiblyLeft({bornMs, isDraining}: UpstreamHeartbeat): boolean {
-    const ageMs = this.clock.readDate().getTime() - bornMs;
-    return !this.isFormerKnown && !isDraining && ageMs >= MIN_LEAVING_AGE_MS;
-  }
-
-  /** An upstream that goes on sending heartbeats has not left. */
-  private verifyByHeartbeat(): boolean {
-    const {unconfirmedSinceMs} = this;
-    if (unconfirmedSinceMs === undefined) return false;
-    const waitedMs = this.clock.readMs() - unconfirmedSinceMs;
-    if (waitedMs < MIN_HEARTBEAT_GAP_MS) return false;
-    this.unconfirmedSinceMs = undefined;
-    return true;
-  }
-
   /** Starts to track an incarnation; it may have left already. */
   private start(heartbeat: UpstreamHeartbeat, wasDraining: boolean): void {
     const match = this.leavings.compare(heartbeat);
@@ -264,7 +218,6 @@
     if (isSuccessor) this.leavings.remove(heartbeat.instance);
     const hasLeft = match !== LeavingMatch.NONE && !isSuccessor;
     this.continued = undefined;
-    this.unconfirmedSinceMs = undefined;
     if (hasLeft) this.countContinued();
     this.store(heartbeat, hasLeft || wasDraining ? -Infinity : undefined);
   }
