--- a/packages/sidecar/src/process/leavingTask.ts
+++ b/packages/sidecar/src/process/leavingTask.ts
@@ -3,6 +3,7 @@
  * at the other nodes and, if the node stops or none of them can be told, in the
  * store.
  */
+import {setTimeout as wait} from 'node:timers/promises';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
@@ -192,7 +193,3 @@
     this.parts.record(EventCode.LEAVING_ROW_DELAYED, {message});
   }
 }
-
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -184,7 +184,7 @@
   sendSuspects(suspects: readonly CrashSuspect[]): void {
     const {service} = this.parts.self;
     for (const link of this.linksByService.get(service) ?? []) {
-      link.sendOptional({kind: FrameKind.SUSPECTS, suspects});
+      sendSuspectsTo(link, suspects);
     }
   }
 
@@ -305,10 +305,8 @@
       if (!isSameProcess(node, link.node)) this.parts.handleNode(node);
       if (node.node !== link.node.node)
         this.parts.handleReplacedNode(link.node);
-      const suspects = this.parts.listSuspects();
-      const isSameService = node.service === this.parts.self.service;
-      if (isSameService && suspects.length > 0) {
-        link.sendOptional({kind: FrameKind.SUSPECTS, suspects});
+      if (node.service === this.parts.self.service) {
+        sendSuspectsTo(link, this.parts.listSuspects());
       }
       for (const notice of this.parts.listNotices(node.node)) {
         link.sendOptional({kind: FrameKind.LEAVINGS, notice});
@@ -364,6 +362,15 @@
   };
 }
 
+function sendSuspectsTo(
+  link: PeerLink,
+  suspects: readonly CrashSuspect[],
+): void {
+  if (suspects.length > 0) {
+    link.sendOptional({kind: FrameKind.SUSPECTS, suspects});
+  }
+}
+
 function collectByService<T>(
   items: Iterable<T>,
   readService: (item: T) => string,
