--- a/packages/sycamoreyoke/src/process/upstreamLeavings.ts
+++ b/packages/sycamoreyoke/src/process/upstreamLeavings.ts
@@ -5,12 +5,12 @@
 export interface UpstreamLeaving {
   readonly instance: string;
   /** Start of the incarnation that leaves; undefined if it is not known. */
-  readonly bornMs: number | undefined;
+  readonly bornMs?: number | undefined;
   /**
    * Time of day of an announcement that names the instance only: an incarnation
    * that has started later is another one. Undefined if the start is certain.
    */
-  readonly announcedMs: number | undefined;
+  readonly announcedMs?: number | undefined;
 }
 
 /** Whether the sender of a heartbeat has announced its leaving. */
--- a/packages/sycamoreyoke/src/process/upstreamPresence.ts
+++ b/packages/sycamoreyoke/src/process/upstreamPresence.ts
@@ -231,7 +231,7 @@
     this.hasEnded = false;
     const {instance, slots, bornMs, sequence, coldMs, isDraining} = heartbeat;
     if (isDraining) {
-      this.leavings.add({instance, bornMs, announcedMs: undefined});
+      this.leavings.add({instance, bornMs});
     }
     this.current = {
       instance,
