Identify client accounts by their keys

A configuration may list client accounts with keys. The origin checks the key of a request on its head, refuses an unknown one with 401, and passes on the name of the account in place of the key; a call of an upstream belongs to the account of the request for which it is made. An invalid entry is reported once for each version and ignored.

--- a/packages/sidecar/src/connection/clientConnection.ts
+++ b/packages/sidecar/src/connection/clientConnection.ts
@@ -12,6 +12,7 @@
   MAX_PIPELINED_REQUESTS,
   MAX_WAITING_BYTES,
 } from '../constants.js';
+import type {ConnectionIdentity} from './clientExchange.js';
 import {ClientExchange, ExchangeState} from './clientExchange.js';
 
 /** Dependencies of a client connection. */
@@ -47,6 +48,7 @@
   private readonly activeExchanges: ClientExchange[] = [];
   /** Later requests, which are not handled yet. */
   private readonly queued: ClientExchange[] = [];
+  private readonly identity: ConnectionIdentity = {isClient: false};
   private accepted = 0;
   private readonly acceptedMs: number;
   /** Earliest time at which the client can have connected, clock ms. */
@@ -83,6 +85,7 @@
       arrivedMs,
       response,
       output,
+      this.identity,
       () => this.flush(),
     );
     this.accepted += 1;
--- a/packages/sidecar/src/connection/clientExchange.ts
+++ b/packages/sidecar/src/connection/clientExchange.ts
@@ -39,6 +39,12 @@
   body: new Uint8Array(0),
 };
 
+/** Who opened the connection, as far as its requests have shown. */
+export interface ConnectionIdentity {
+  /** Whether a request had the key of an account, which upstreams never send. */
+  isClient: boolean;
+}
+
 /** Holds the answer of a request until the connection writes it, in order. */
 export class ClientExchange {
   state = ExchangeState.RUNNING;
@@ -51,6 +57,7 @@
     readonly arrivedMs: number,
     private readonly response: ServerResponse,
     private readonly output: ByteBudget<ClientExchange>,
+    private readonly identity: ConnectionIdentity,
     private readonly handleAnswer: () => void,
   ) {}
 
@@ -59,6 +66,16 @@
     return this.response.shouldKeepAlive;
   }
 
+  /** Records that the request has a key, so that a client has sent it. */
+  markClient(): void {
+    this.identity.isClient = true;
+  }
+
+  /** Whether a request of the connection had a key. */
+  isClient(): boolean {
+    return this.identity.isClient;
+  }
+
   /** Returns the bytes of the answer while it waits to be written. */
   countWaitingBytes(): number {
     const isWaiting = this.state === ExchangeState.ANSWERED;
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -102,6 +102,7 @@
     usefulMs: 5_000,
     importance: Importance.CRITICAL,
     isIdempotent: false,
+    account: undefined,
   };
 }
 
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -85,6 +85,8 @@
   usefulMs: number,
   importance: Importance,
   isIdempotent: boolean,
+  /** Absent in calls of nodes that know no accounts. */
+  account?: string,
 ];
 
 type ResultFields = readonly [
@@ -335,7 +337,8 @@
 }
 
 function buildCall(call: OutgoingCall): CallFields {
-  return [
+  const {account} = call;
+  const fields = [
     call.requestId,
     call.service,
     call.callerService,
@@ -348,13 +351,15 @@
     Math.round(call.usefulMs),
     call.importance,
     call.isIdempotent,
-  ];
+  ] as const;
+  return account === undefined ? fields : [...fields, account];
 }
 
 function readCall(value: unknown): OutgoingCall {
   const [requestId, service, callerService, kind, method, path, ...rest] =
     readList(value);
-  const [headers, body, leftMs, usefulMs, importance, isIdempotent] = rest;
+  const [headers, body, leftMs, usefulMs, importance, ...optional] = rest;
+  const [isIdempotent, account] = optional;
   return {
     requestId: readText(requestId),
     service: readText(service),
@@ -368,6 +373,7 @@
     usefulMs: readDelay(usefulMs),
     importance: readMember(IMPORTANCES, importance),
     isIdempotent: readFlag(isIdempotent),
+    account: account === undefined ? undefined : readName(account),
   };
 }
 
--- a/packages/sidecar/src/connection/upstreamConnection.test.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.test.ts
@@ -34,10 +34,16 @@
   usefulMs: 2_000,
   importance: Importance.CRITICAL,
   isIdempotent: false,
+  account: undefined,
 };
 /** A protocol in which every response belongs to CALL. */
 const WIRE: WireProtocol = {
-  readClientHead: () => ({requestId: 'r-1', leftMs: undefined, headers: []}),
+  readClientHead: () => ({
+    requestId: 'r-1',
+    leftMs: undefined,
+    key: undefined,
+    headers: [],
+  }),
   buildUpstreamHeaders: () => [],
   readUpstreamHead: () => ({
     requestId: 'r-1',
--- a/packages/sidecar/src/process/configurationTask.ts
+++ b/packages/sidecar/src/process/configurationTask.ts
@@ -89,6 +89,10 @@
       routes,
       behindMs: this.measureLag(),
     });
+    for (const {place, message} of table.findings) {
+      const details = {version: offered, place, message};
+      this.parts.record(EventCode.CONFIGURATION_ODD, details);
+    }
     for (const [peer, peerVersion] of this.newerVersions) {
       if (peerVersion <= offered) this.newerVersions.delete(peer);
     }
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -76,6 +76,7 @@
 export interface ParentCall {
   readonly requestId: string;
   readonly importance: Importance;
+  readonly account: string | undefined;
   /** Whether the deadlines match; if not, it may be a client's request. */
   readonly isConfirmed: boolean;
   /** Records that the call was answered. */
@@ -139,6 +140,7 @@
     return {
       requestId: parent.call.requestId,
       importance: parent.call.importance,
+      account: parent.call.account,
       isConfirmed,
       finish: () => callParents.finishCall(parent.ticket, clock.readMs()),
     };
--- a/packages/sidecar/src/request/originCall.test.ts
+++ b/packages/sidecar/src/request/originCall.test.ts
@@ -46,6 +46,7 @@
       targetLatencyMs: 500,
       maxAttempts: 2,
       rank: 0,
+      isPublic: false,
       targets: [],
     },
     service: 's',
@@ -59,6 +60,7 @@
     usefulUntilMs: 500,
     configurationVersion: 1,
     parentId: undefined,
+    account: undefined,
   };
   return new OriginCall(request, {
     clock: new VirtualClock(),
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -37,6 +37,8 @@
   readonly configurationVersion: number;
   /** Id of the request for which the upstream makes this call. */
   readonly parentId: string | undefined;
+  /** Client account that the request belongs to, if any. */
+  readonly account: string | undefined;
 }
 
 /** What the answer says about the execution of the request. */
@@ -141,6 +143,7 @@
         usefulMs: request.usefulUntilMs - nowMs,
         importance: request.importance,
         isIdempotent: this.isIdempotent(),
+        account: request.account,
       },
       (result) => this.handleResult(result),
     );
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -8,6 +8,8 @@
 import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import type {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import {Importance} from 'sycamoreyoke/types';
+import type {Account} from 'sycamoreyoke/version/accounts';
+import {CredentialCheck, checkCredentials} from 'sycamoreyoke/version/accounts';
 import type {Route, RouteTable} from 'sycamoreyoke/version/routeTable';
 import {findRoute} from 'sycamoreyoke/version/routeTable';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
@@ -15,7 +17,12 @@
 import {DEFAULT_TIMEOUT_MS, STOP_RETRY_MS} from '../constants.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {ParentCall} from '../process/upstreamTask.js';
-import type {CallResult, HeaderList, WireProtocol} from '../types.js';
+import type {
+  CallResult,
+  ClientHead,
+  HeaderList,
+  WireProtocol,
+} from '../types.js';
 import {GateReason} from '../types.js';
 import type {Answer, RoutedRequest} from './originCall.js';
 import {ByteList} from '../connection/byteList.js';
@@ -45,6 +52,7 @@
 
 enum Status {
   BAD_REQUEST = 400,
+  UNAUTHORIZED = 401,
   NOT_FOUND = 404,
   TOO_LARGE = 413,
   BAD_GATEWAY = 502,
@@ -139,8 +147,16 @@
     }
     const stop = this.parts.readStopSchedule();
     const leftMs = head.leftMs ?? DEFAULT_TIMEOUT_MS;
-    const parent = this.parts.startChildCall(arrivedMs + leftMs);
-    if (parent) exchange.handleClose(() => parent.finish());
+    const parent = this.findParent(exchange, head.key, arrivedMs + leftMs);
+    const {check, account} = checkCredentials(table.accounts, {
+      key: head.key,
+      isPublicRoute: route.isPublic,
+      isUpstreamCall: parent?.isConfirmed ?? false,
+    });
+    if (check === CredentialCheck.UNKNOWN) {
+      this.refuseUnauthenticated(exchange, head, route, table.version);
+      return;
+    }
     const routeDeadlineMs = arrivedMs + Math.min(leftMs, route.timeoutMs);
     const isAccepted =
       !stop ||
@@ -151,7 +167,7 @@
     }
     const deadlineMs =
       parent && stop ? stop.clampDeadline(routeDeadlineMs) : routeDeadlineMs;
-    const importance = chooseImportance(route, parent);
+    const importance = chooseImportance(route, account, parent);
     this.start(exchange, {
       requestId: head.requestId,
       route,
@@ -171,9 +187,42 @@
       ),
       configurationVersion: table.version,
       parentId: parent?.requestId,
+      account: account?.name ?? parent?.account,
     });
   }
 
+  /**
+   * Finds the request for which the upstream makes a call. A call has no key,
+   * and a connection with requests that have one belongs to a client.
+   */
+  private findParent(
+    exchange: ClientExchange,
+    key: string | undefined,
+    deadlineMs: number,
+  ): ParentCall | undefined {
+    if (key !== undefined) exchange.markClient();
+    if (exchange.isClient()) return undefined;
+    const parent = this.parts.startChildCall(deadlineMs);
+    if (parent) exchange.handleClose(() => parent.finish());
+    return parent;
+  }
+
+  private refuseUnauthenticated(
+    exchange: ClientExchange,
+    {requestId, key}: ClientHead,
+    route: Route,
+    version: number,
+  ): void {
+    const hasKey = key !== undefined;
+    this.parts.metrics.count('requests_unauthenticated_total');
+    this.parts.record(
+      EventCode.REQUEST_UNAUTHENTICATED,
+      {route: route.name, hasKey, version},
+      requestId,
+    );
+    this.refuse(exchange, Status.UNAUTHORIZED, 'the key is missing or unknown');
+  }
+
   /**
    * Decides whether a stopping node accepts a request: only one that can be
    * answered before the stop and, late in it, only calls for running requests.
@@ -301,11 +350,16 @@
   }
 }
 
-/** A call is at least as important as the request for which it is made. */
+/**
+ * The priority of the account takes precedence over the route's. A call is at
+ * least as important as the request for which it is made.
+ */
 function chooseImportance(
-  {rank}: Route,
+  route: Route,
+  account: Account | undefined,
   parent: ParentCall | undefined,
 ): Importance {
+  const rank = account?.rank ?? route.rank;
   const routeImportance = IMPORTANCE_BY_RANK[rank] ?? Importance.LOW;
   return Math.max(routeImportance, parent?.importance ?? routeImportance);
 }
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -116,9 +116,9 @@
   private buildHeaders(): HeaderList | undefined {
     const {call, instance, wire} = this.parts;
     if (this.isEnded || this.isPastDeadline()) return undefined;
-    const {requestId, callerService} = call;
+    const {requestId, callerService, account} = call;
     const leftMs = Math.max(MIN_TIMEOUT_MS, Math.floor(this.readLeftMs()));
-    const additions = {requestId, leftMs, instance, callerService};
+    const additions = {requestId, leftMs, instance, callerService, account};
     return [...call.headers, ...wire.buildUpstreamHeaders(additions)];
   }
 
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -45,6 +45,8 @@
   readonly usefulMs: number;
   readonly importance: Importance;
   readonly isIdempotent: boolean;
+  /** Name of the client account that the request belongs to, if any. */
+  readonly account: string | undefined;
 }
 
 /** Why a gate did not deliver a response. */
@@ -119,6 +121,8 @@
 export interface ClientHead {
   readonly requestId: string | undefined;
   readonly leftMs: number | undefined;
+  /** Key of a client account. */
+  readonly key: string | undefined;
   /** Headers that are forwarded to the upstream. */
   readonly headers: HeaderList;
 }
@@ -140,6 +144,8 @@
   readonly leftMs: number;
   readonly instance: string;
   readonly callerService: string;
+  /** Client account of the request, unless the upstream of a node made it. */
+  readonly account: string | undefined;
 }
 
 /** Reads and writes the headers used between node, clients and upstream. */
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -122,6 +122,12 @@
     'running',
     'waiting',
   ),
+  [EventCode.REQUEST_UNAUTHENTICATED]: describe(
+    'The key of the request is missing or belongs to no account.',
+    'route',
+    'hasKey: whether the request had a key',
+    'version: configuration version',
+  ),
   [EventCode.CALL_ROUTED]: describe(
     'The egress sent a call to a member.',
     'service',
@@ -248,6 +254,12 @@
     'wanted: version of the peer',
     'behindMs: time since a peer first had a newer one, ms',
   ),
+  [EventCode.CONFIGURATION_ODD]: describe(
+    'A part of an adopted configuration is invalid and was ignored.',
+    'version',
+    'place',
+    'message',
+  ),
   [EventCode.UPSTREAM_CRASHED]: describe(
     'The upstream process ended while requests ran.',
     'instance',
--- a/packages/sycamoreyoke/src/version/routeTable.test.ts
+++ b/packages/sycamoreyoke/src/version/routeTable.test.ts
@@ -12,6 +12,7 @@
     targetLatencyMs: 500,
     maxAttempts: 2,
     rank: 0,
+    isPublic: false,
     targets: [{service: 's', weight: 1}],
   };
 }
@@ -24,6 +25,8 @@
     createRoute('short', 'a.example', '/x/'),
   ],
   services: new Map(),
+  accounts: undefined,
+  findings: [],
   limits: {
     maxHeaderBytes: 1,
     maxBodyBytes: 1,
--- a/packages/sycamoreyoke/src/version/routeTable.ts
+++ b/packages/sycamoreyoke/src/version/routeTable.ts
@@ -1,6 +1,8 @@
 /** Routes of one configuration version, indexed for lookup. */
 
+import type {Finding} from '../findings.js';
 import type {WeightedTarget} from '../process/weightedRotation.js';
+import type {AccountTable} from './accounts.js';
 
 /** How often a request may run. */
 export enum Repeatability {
@@ -24,6 +26,8 @@
   readonly maxAttempts: number;
   /** Priority; 0 is the highest. */
   readonly rank: number;
+  /** Whether its requests need no key of an account. */
+  readonly isPublic: boolean;
   readonly targets: readonly WeightedTarget[];
 }
 
@@ -49,6 +53,10 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, ServiceDefinition>;
   readonly limits: ClientLimits;
+  /** Undefined if the configuration has no accounts; then no key is needed. */
+  readonly accounts: AccountTable | undefined;
+  /** Entries that were ignored because they are invalid. */
+  readonly findings: readonly Finding[];
   /** Routes by lower-case host, longest prefix first. */
   readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
 }
