End a response with a status that HTTP does not have at once

An upstream in trouble sent status 000. The connection took each status below 200 for an interim response and waited for the final one, so the client was answered 504 at its route's timeout in place of 502 at once. A status below 100, and 101, which no node asks for, now end the exchange as lost.

Nine tests with statuses 000, 001 and 099, alone and behind a 100 or 103, failed before; 101 was added with the fix and not run before. Two tests of an early answer without a length that is reset or closed during an upload passed before and pass now.

--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -103,7 +103,10 @@
   readonly handleConnectFailure?: (hasNoListener: boolean) => void;
 }
 
+const FIRST_STATUS = 100;
 const FIRST_FINAL_STATUS = 200;
+/** Announces a change of protocol, which a node never asks for. */
+const SWITCHING_PROTOCOLS = 101;
 const NO_BODY_STATUSES = new Set([204, 304]);
 
 /** Runs exchanges on a socket and parses the responses. */
@@ -269,6 +272,10 @@
     const {request} = this.exchange ?? {};
     if (!request) return false;
     const {status, headers} = head;
+    if (!isExpectedStatus(status)) {
+      this.close(`upstream sent status ${status}`, GateReason.BAD_RESPONSE);
+      return false;
+    }
     const owner = this.findOwner(request, head);
     this.response = {...head, owner, body: new ByteList()};
     const length = Number(getHeader(headers, 'content-length') ?? 0);
@@ -341,6 +348,11 @@
   }
 }
 
+/** Whether a final response can follow, or this one is final. */
+function isExpectedStatus(status: number): boolean {
+  return status >= FIRST_STATUS && status !== SWITCHING_PROTOCOLS;
+}
+
 function isForThisRequest({owner}: PartialResponse): boolean {
   return (
     owner === ResponseOwner.THIS_REQUEST || owner === ResponseOwner.THIS_REFUSED
