Pace an upstream that announces a cold start, and spread origins over equal nodes

An upstream that had just started got the full limit at once, and each origin took it for the fastest, since it had no samples. Origins choose at random between nodes of nearly the same cost, take a node without samples for a usual one, and correct old samples by the node's reported mean.

--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -55,6 +55,7 @@
   return new PeerTask({
     self: {...createNode('origin', {host: HOST, port: 1}), service: 'tracking'},
     clock: systemClock,
+    random: () => 0,
     record: () => undefined,
     describeReport: () => REPORT,
     offerLocally: () => ({cancel: () => undefined}),
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -8,6 +8,11 @@
   UpstreamLoad,
 } from 'sycamoreyoke/process/placement';
 import {choosePlacement} from 'sycamoreyoke/process/placement';
+import type {ServiceObservation} from 'sycamoreyoke/process/serviceEstimate';
+import {
+  computeServiceMs,
+  updateObservation,
+} from 'sycamoreyoke/process/serviceEstimate';
 import type {ByteBudget} from '../connection/byteBudget.js';
 import type {FrameReader} from '../connection/frameReader.js';
 import {FrameKind} from '../connection/frame.js';
@@ -39,6 +44,7 @@
 export interface PeerTaskParts {
   readonly self: NodeRecord;
   readonly clock: Clock;
+  readonly random: Random;
   readonly record: EventRecorder;
   readonly describeReport: () => NodeReport;
   /** Offers a call to this node's own gate, which needs no link. */
@@ -79,17 +85,17 @@
   observe(kind: string, elapsedMs: number): void;
 }
 
-/** Weight of a new sample in the moving average of request times. */
-const TIME_WEIGHT = 0.15;
-
 /** Keeps links to the nodes that this one may call. */
 export class PeerTask {
   private readonly links = new Map<string, PeerLink>();
   /** Links to nodes that left the list, kept open until their calls end. */
   private readonly retiredLinks = new Set<PeerLink>();
   private linksByService: ReadonlyMap<string, readonly PeerLink[]> = new Map();
-  /** Moving average of the time of each kind of request, ms, by node. */
-  private readonly meanTimes = new Map<string, Map<string, number>>();
+  /** Measured times of each kind of request, by node. */
+  private readonly observations = new Map<
+    string,
+    Map<string, ServiceObservation>
+  >();
   private localAvoidedUntilMs = 0;
   private lastProbeAllMs = -Infinity;
   private nodes: readonly NodeRecord[] = [];
@@ -160,7 +166,9 @@
   ): ChosenNode | undefined {
     const candidates = this.listCandidates(service, kind, mayChoose);
     const nowMs = this.parts.clock.readMs();
-    const chosen = choosePlacement(candidates, {bodyBytes, nowMs});
+    const {random} = this.parts;
+    const placement = {bodyBytes, nowMs, random};
+    const chosen = choosePlacement(candidates, placement);
     return chosen && this.createChosenNode(chosen.node);
   }
 
@@ -256,7 +264,11 @@
       isSameDataCentre: node.dataCentre === this.parts.self.dataCentre,
       load,
       sentSinceReport: link?.sentSinceReport ?? 0,
-      observedMs: this.meanTimes.get(node.node)?.get(kind),
+      observedMs: computeServiceMs(
+        this.observations.get(node.node)?.get(kind),
+        load.meanServiceMs,
+        this.parts.clock.readMs(),
+      ),
       avoidedUntilMs: link?.avoidedUntilMs ?? this.localAvoidedUntilMs,
     };
   }
@@ -267,7 +279,7 @@
       node,
       send: (call, handle) =>
         link
-          ? link.send(call, handle, this.meanTimes.get(node)?.get(call.kind))
+          ? link.send(call, handle, this.readMeanMs(node, call.kind))
           : this.parts.offerLocally(call, handle),
       avoid: () => {
         const untilMs = this.parts.clock.readMs() + AVOID_MS;
@@ -278,18 +290,30 @@
     };
   }
 
+  private readMeanMs(node: string, kind: string): number | undefined {
+    return this.observations.get(node)?.get(kind)?.meanMs;
+  }
+
   private observe(node: string, kind: string, elapsedMs: number): void {
-    const times = this.meanTimes.get(node) ?? new Map<string, number>();
-    this.meanTimes.set(node, times);
-    const meanMs = times.get(kind) ?? elapsedMs;
-    times.set(kind, meanMs + TIME_WEIGHT * (elapsedMs - meanMs));
+    const byKind =
+      this.observations.get(node) ?? new Map<string, ServiceObservation>();
+    this.observations.set(node, byKind);
+    const {load} = this.links.get(node)?.report ?? this.parts.describeReport();
+    byKind.set(
+      kind,
+      updateObservation(byKind.get(kind), {
+        elapsedMs,
+        reportedMs: load.meanServiceMs,
+        sampledMs: this.parts.clock.readMs(),
+      }),
+    );
   }
 
   private closeLink(name: string, link: PeerLink): void {
     link.retire();
     if (!link.isEnded()) this.retiredLinks.add(link);
     this.links.delete(name);
-    this.meanTimes.delete(name);
+    this.observations.delete(name);
   }
 
   private readonly events: LinkEvents = {
--- a/packages/sidecar/src/process/slotLimiter.ts
+++ b/packages/sidecar/src/process/slotLimiter.ts
@@ -1,27 +1,39 @@
 /** Concurrency limit derived from the slots that the upstream announces. */
-import type {ConcurrencyLimiter} from 'sycamoreyoke/process/limiter';
+import type {
+  ConcurrencyLimiter,
+  LimitSample,
+} from 'sycamoreyoke/process/limiter';
+import {StartPace} from 'sycamoreyoke/process/startPace';
 import {SLOT_SHARE} from '../constants.js';
 
 /**
  * Limits concurrency to SLOT_SHARE of the announced slots, whose number may
- * change with each instance of the upstream.
+ * change with each instance of the upstream, and to less after a start.
  */
 export class SlotLimiter implements ConcurrencyLimiter {
-  private limit: number;
+  private fullLimit: number;
+  private readonly pace = new StartPace();
 
   constructor(slots: number) {
-    this.limit = computeLimit(slots);
+    this.fullLimit = computeLimit(slots);
   }
 
   readLimit(): number {
-    return this.limit;
+    return this.pace.computeLimit(this.fullLimit);
   }
 
   update(slots: number): void {
-    this.limit = computeLimit(slots);
+    this.fullLimit = computeLimit(slots);
   }
 
-  observe(): void {}
+  /** Lowers the limit until answers prove that the upstream serves more. */
+  startPace(): void {
+    this.pace.start(this.fullLimit);
+  }
+
+  observe(sample: LimitSample): void {
+    this.pace.observe(sample, this.fullLimit);
+  }
 }
 
 function computeLimit(slots: number): number {
--- a/packages/sidecar/src/process/upstreamHealth.ts
+++ b/packages/sidecar/src/process/upstreamHealth.ts
@@ -33,6 +33,8 @@
   readonly listRunning: () => readonly OutgoingCall[];
   /** Called when the upstream becomes available, leaves or is lost. */
   readonly handleChange: () => void;
+  /** Called when the upstream no longer accepts connections. */
+  readonly handleDown: () => void;
 }
 
 /** Infers the state of the upstream from the ends of its runs. */
@@ -99,6 +101,7 @@
     }
     this.downUntilMs = this.parts.clock.readMs() + UPSTREAM_DOWN_MS;
     if (wasDown) return;
+    this.parts.handleDown();
     this.parts.pool.close();
     this.parts.record(EventCode.UPSTREAM_UNREACHABLE, {
       instance: this.parts.presence.read()?.instance ?? '',
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -94,6 +94,8 @@
   private readonly calls = new Map<string, GateCall>();
   private nextTicket = 1;
   private meanServiceMs = 0;
+  /** Whether the upstream tells for how long it is slow after a start. */
+  private announcesCold = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: UpstreamTaskParts) {
@@ -114,6 +116,9 @@
       record: parts.record,
       listRunning: () => this.listRunning(),
       handleChange: parts.handleChange,
+      handleDown: () => {
+        if (this.announcesCold) this.startPace('recovered');
+      },
     });
   }
 
@@ -169,6 +174,10 @@
       this.parts.pool.close();
     }
     this.limiter.update(slots);
+    this.announcesCold ||= heartbeat.coldMs > 0;
+    if (change === PresenceChange.STARTED && heartbeat.coldMs > 0) {
+      this.startPace('started');
+    }
     if (change !== PresenceChange.NONE) {
       recordPresence(this.parts.record, change, instance, slots);
       this.parts.handleChange();
@@ -362,6 +371,14 @@
       .map(({call}) => call);
   }
 
+  private startPace(cause: string): void {
+    this.limiter.startPace();
+    this.parts.record(EventCode.UPSTREAM_PACED, {
+      cause,
+      limit: this.limiter.readLimit(),
+    });
+  }
+
   private updateMean(elapsedMs: number): void {
     const meanMs = this.meanServiceMs || elapsedMs;
     this.meanServiceMs = meanMs + SERVICE_WEIGHT * (elapsedMs - meanMs);
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -234,6 +234,7 @@
   const peers: PeerTask = new PeerTask({
     self,
     clock,
+    random,
     record,
     describeReport,
     offerLocally: (call, handle) => upstream.offer(call, handle),
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -309,6 +309,11 @@
     'An earlier process of this node has acknowledged that upstreams leave.',
     'instances',
   ),
+  [EventCode.UPSTREAM_PACED]: describe(
+    'The limit of a started or recovered upstream is low until answers prove more.',
+    'cause: started or recovered',
+    'limit: requests at once',
+  ),
   [EventCode.PLATFORM_UNAVAILABLE]: describe(
     "The platform's service stopped answering.",
     'service',
--- a/packages/sycamoreyoke/src/process/placement.test.ts
+++ b/packages/sycamoreyoke/src/process/placement.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {createRandom} from '../random.js';
 import type {PlacementCandidate, UpstreamLoad} from './placement.js';
 import {choosePlacement} from './placement.js';
 
@@ -28,7 +29,8 @@
 }
 
 function choose(bodyBytes: number, ...candidates: PlacementCandidate[]) {
-  return choosePlacement(candidates, {bodyBytes, nowMs: 1})?.node;
+  const placement = {bodyBytes, nowMs: 1, random: () => 0};
+  return choosePlacement(candidates, placement)?.node;
 }
 
 // Guards against unneeded traffic between data centres, which is billed.
@@ -65,3 +67,41 @@
     undefined,
   );
 });
+
+/** Sends a burst of many origins between two load reports. */
+function countBurst(
+  origins: number,
+  candidates: readonly PlacementCandidate[],
+): Map<string, number> {
+  const random = createRandom(7);
+  const counts = new Map<string, number>();
+  for (let origin = 0; origin < origins; origin += 1) {
+    const placement = {bodyBytes: 0, nowMs: 1, random};
+    const node = choosePlacement(candidates, placement)?.node ?? '';
+    counts.set(node, (counts.get(node) ?? 0) + 1);
+  }
+  return counts;
+}
+
+// Guards against all origins that choose the same of several equal nodes until
+// its next report.
+it('placement: many origins spread over nearly equal nodes', () => {
+  const nodes = ['a', 'b', 'c', 'd'].map((node, index) =>
+    createCandidate(node, {}, {observedMs: 100 + 2 * index}),
+  );
+  const slow = createCandidate('slow', {}, {observedMs: 130});
+  const counts = countBurst(400, [...nodes, slow]);
+  expect(Math.max(...counts.values())).to.be.below(150);
+  expect(counts.get('slow')).to.equal(undefined);
+});
+
+// Guards against the next request of each origin going to an upstream that has
+// just started, because nobody has measured it and it seems fast.
+it('placement: a node without samples is taken for a usual one', () => {
+  const known = ['a', 'b', 'c'].map((node) =>
+    createCandidate(node, {}, {observedMs: 200}),
+  );
+  const started = createCandidate('started', {meanServiceMs: 0});
+  const counts = countBurst(400, [...known, started]);
+  expect(counts.get('started')).to.be.within(50, 150);
+});
--- a/packages/sycamoreyoke/src/process/placement.ts
+++ b/packages/sycamoreyoke/src/process/placement.ts
@@ -1,4 +1,5 @@
 /** Chooses the node that a request is sent to. */
+import type {Random} from '../random.js';
 
 /** Load of an upstream, as reported by its node. */
 export interface UpstreamLoad {
@@ -33,8 +34,15 @@
 const REMOTE_COST_MS = 40;
 /** Body bytes that add 1 ms to the cost of another data centre. */
 const REMOTE_BYTES_PER_MS = 500;
-/** Assumed service time of a node without observations, ms. */
+/** Assumed service time if no node has observations, ms. */
 const DEFAULT_SERVICE_MS = 50;
+/**
+ * Nodes whose costs differ by less than this are chosen at random. Otherwise
+ * all origins choose the same node until its next load report. It is well below
+ * the cost of another data centre.
+ */
+const NEAR_COST_SHARE = 0.1;
+const MAX_NEAR_COST_MS = 10;
 /** Utilisation above which a gate slows down and further slots cost extra. */
 const CROWDED_SHARE = 0.7;
 
@@ -42,24 +50,41 @@
 export interface Placement {
   readonly bodyBytes: number;
   readonly nowMs: number;
+  /** Chooses between nodes with nearly the same cost. */
+  readonly random: Random;
 }
 
-/** Returns the available candidate with the lowest cost, if there is one. */
+/**
+ * Returns an available candidate with the lowest cost, or nearly the lowest, if
+ * there is one.
+ */
 export function choosePlacement(
   candidates: readonly PlacementCandidate[],
   placement: Placement,
 ): PlacementCandidate | undefined {
   const available = candidates.filter(({load}) => load.isAvailable);
   const pool = narrowCandidates(available, placement.nowMs);
-  let best: PlacementCandidate | undefined;
-  let bestMs = Infinity;
-  for (const candidate of pool) {
-    const costMs = computeCostMs(candidate, placement);
-    if (costMs >= bestMs) continue;
-    best = candidate;
-    bestMs = costMs;
-  }
-  return best;
+  const usualMs = computeUsualMs(pool);
+  const costs = pool.map((candidate) =>
+    computeCostMs(candidate, placement, usualMs),
+  );
+  const lowestMs = Math.min(...costs);
+  const nearMs = Math.min(MAX_NEAR_COST_MS, lowestMs * NEAR_COST_SHARE);
+  const near = pool.filter(
+    (_candidate, index) => (costs[index] ?? Infinity) <= lowestMs + nearMs,
+  );
+  return near[Math.floor(placement.random() * near.length)];
+}
+
+/**
+ * Mean observed time of the candidates, assumed for those without observations:
+ * a low default would send the next request of each origin to an upstream that
+ * has just started.
+ */
+function computeUsualMs(candidates: readonly PlacementCandidate[]): number {
+  const observed = candidates.flatMap(({observedMs}) => observedMs ?? []);
+  if (observed.length === 0) return DEFAULT_SERVICE_MS;
+  return observed.reduce((sum, value) => sum + value, 0) / observed.length;
 }
 
 /** Leaves out draining and avoided nodes unless there are no others. */
@@ -79,11 +104,12 @@
  */
 export function computeCostMs(
   {load, sentSinceReport, isSameDataCentre, observedMs}: PlacementCandidate,
-  {bodyBytes}: Placement,
+  {bodyBytes}: Pick<Placement, 'bodyBytes'>,
+  usualMs = DEFAULT_SERVICE_MS,
 ): number {
   const limit = Math.max(1, load.limit);
   const pending = load.running + load.waiting + sentSinceReport;
-  const serviceMs = observedMs ?? (load.meanServiceMs || DEFAULT_SERVICE_MS);
+  const serviceMs = observedMs ?? (load.meanServiceMs || usualMs);
   const waitMs = (Math.max(0, pending - limit) / limit) * serviceMs;
   const crowdedMs =
     (Math.max(0, pending / limit - CROWDED_SHARE) * serviceMs) / 2;
