Keep what a store loses that is restored from an older copy

A store that comes back from a copy lost what was written since and assigns versions again. Followers waited at versions of before, records and leavings disappeared, and a starting node kept the copy's older configuration.

Answers carry the era of the store. A later era leads to new lists at once. Owners write their lost rows again, other holders of leavings and crash marks follow later. Known node records outlast the copy for 30 s. A removal names the era of its version and is not sent in another one. A starting node fetches a newer configuration of a peer at once, and is ready only with it, for 2 s at most.

The fake route table of the configuration task's tests gets its missing findings.

--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -163,6 +163,16 @@
 export const RELIST_INTERVAL_MS = 1_000;
 /** A call to the store younger than this is not aborted by a reset. */
 export const MIN_RESET_AGE_MS = 500;
+/**
+ * Time for which a node keeps a record that a restored store lacks. Its owner
+ * writes it within a second, and nodes that read many changes pause up to 15 s.
+ */
+export const RESTORE_SETTLE_MS = 30_000;
+/**
+ * Removed rows that a node remembers, since a restored store may still have
+ * them. Leavings and crash marks are few.
+ */
+export const MAX_REMOVED_ROWS = 256;
 /**
  * Links over which a node announces a new version at once. The cost of using
  * all links would grow with the deployment; the nodes that hear of it inform
--- a/packages/sidecar/src/process/configurationTask.test.ts
+++ b/packages/sidecar/src/process/configurationTask.test.ts
@@ -13,10 +13,12 @@
       ({
         version: Number(content.toString()),
         routes: [],
+        findings: [],
       }) as unknown as RouteTable,
     record: () => undefined,
     handleChange: () => (changes += 1),
     handleStoreDelay: () => undefined,
+    isStarting: () => false,
   });
   return {task, countChanges: () => changes};
 }
--- a/packages/sidecar/src/process/configurationTask.ts
+++ b/packages/sidecar/src/process/configurationTask.ts
@@ -31,6 +31,11 @@
   readonly handleChange: () => void;
   /** Called when a peer has a version that the store has not delivered yet. */
   readonly handleStoreDelay: () => void;
+  /**
+   * Whether the node takes no requests yet. Then a newer version of a peer is
+   * fetched at once, since the store may have an older copy only.
+   */
+  readonly isStarting: () => boolean;
 }
 
 /** Adopts configuration versions from the store and from peers. */
@@ -110,7 +115,12 @@
     this.laggingSinceMs ??= this.parts.clock.readMs();
     this.newerVersions.delete(peer);
     this.newerVersions.set(peer, version);
-    this.scheduleRequest(PEER_VERSION_WAIT_MS);
+    this.scheduleRequest(this.parts.isStarting() ? 0 : PEER_VERSION_WAIT_MS);
+  }
+
+  /** Whether a peer has a version that this node does not have yet. */
+  isBehindPeers(): boolean {
+    return this.laggingSinceMs !== undefined;
   }
 
   stop(): void {
--- a/packages/sidecar/src/process/crashTask.ts
+++ b/packages/sidecar/src/process/crashTask.ts
@@ -13,6 +13,8 @@
 import {CrashWatch} from 'sycamoreyoke/process/crashWatch';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
+import type {StorePosition} from 'sycamoreyoke/process/storePosition';
+import type {Random} from 'sycamoreyoke/random';
 import {identifyContent} from 'sycamoreyoke/request/contentIdentity';
 import {
   MAX_SENT_SUSPECTS,
@@ -20,6 +22,7 @@
   STORE_RETRY_MAX_MS,
 } from '../constants.js';
 import type {FleetStore, OutgoingCall, StoredRow} from '../types.js';
+import {HeldRows} from './heldRows.js';
 
 /** Stored row of a request that is refused because it crashed upstreams. */
 export interface CrashMark {
@@ -29,11 +32,15 @@
 
 /** Dependencies of the task. */
 export interface CrashTaskParts {
+  /** Name of the node. */
+  readonly node: string;
   /** Differs for each start of the node; prefix of its crash ids. */
   readonly incarnation: string;
   readonly service: string;
   readonly clock: Clock;
+  readonly random: Random;
   readonly record: EventRecorder;
+  readonly countNodes: () => number;
   readonly store: Pick<FleetStore, 'writeRow' | 'removeRow'>;
   readonly encodeMark: (mark: CrashMark) => Uint8Array;
   readonly decodeMark: (content: Uint8Array) => CrashMark | undefined;
@@ -41,13 +48,6 @@
   readonly broadcastSuspects: (suspects: readonly CrashSuspect[]) => void;
 }
 
-/** A row of the store that marks a refused request. */
-interface CrashRow {
-  readonly key: string;
-  readonly version: number;
-  readonly learnedMs: number;
-}
-
 const ROW_PREFIX = 'crash/';
 const NOT_REFUSED: CrashVerdict = {isRefused: false, retryAfterMs: 0};
 
@@ -73,7 +73,9 @@
   private readonly ownSuspects = new Set<string>();
   private readonly unwrittenIdentities = new Set<string>();
   private readonly writtenIdentities = new Set<string>();
-  private readonly rows = new Map<string, CrashRow>();
+  private readonly rows: HeldRows;
+  /** When this node learned of the row of a mark, clock ms, by its key. */
+  private readonly learnedMs = new Map<string, number>();
   private crashCount = 0;
   private lastCrashMs = -Infinity;
   private writeTimer: NodeJS.Timeout | undefined;
@@ -83,6 +85,18 @@
   constructor(private readonly parts: CrashTaskParts) {
     this.register = new CrashRegister(parts.clock);
     this.watch = new CrashWatch(parts.clock);
+    this.rows = new HeldRows({
+      node: parts.node,
+      random: parts.random,
+      record: parts.record,
+      store: parts.store,
+      countNodes: parts.countNodes,
+      isOwner: (key) => this.writtenIdentities.has(parseKey(key)),
+      buildValue: (key, value) =>
+        this.register.check(parseKey(key)).isRefused ? value : undefined,
+      handleDelay: ({message}) =>
+        parts.record(EventCode.CRASH_ROW_DELAYED, {message}),
+    });
     this.rowTimer = setInterval(
       () => void this.removeRows(),
       ROW_CHECK_INTERVAL_MS,
@@ -160,26 +174,42 @@
     return this.register.listSuspects(MAX_SENT_SUSPECTS);
   }
 
-  /** Handles rows of the store, from a list or a change. */
-  handleRows(rows: readonly StoredRow[]): void {
-    for (const {key, value, version} of rows) {
-      // A list also contains rows that are already known.
-      if (this.rows.get(key)?.version === version) continue;
-      const mark = value && this.parts.decodeMark(value);
-      const isOwn = mark?.service === this.parts.service;
-      if (!isOwn || key !== buildKey(mark.identity)) {
-        this.rows.delete(key);
-        continue;
+  /**
+   * Handles rows of the store, from a change or from a list, which has a
+   * position and all rows of this kind. A row that a restored store still has,
+   * or that this node reads in a later era, does not extend a refusal.
+   */
+  handleRows(rows: readonly StoredRow[], list?: StorePosition): void {
+    const ownRows = rows.filter((row) => this.isOwnRow(row));
+    const nowMs = this.parts.clock.readMs();
+    for (const {key, value} of this.rows.handleRows(ownRows, list)) {
+      if (!value) continue;
+      this.register.refuse(parseKey(key));
+      this.learnedMs.set(key, nowMs);
+    }
+    for (const {key} of ownRows) {
+      if (this.rows.has(key) && !this.learnedMs.has(key)) {
+        this.learnedMs.set(key, nowMs);
       }
-      const learnedMs = this.parts.clock.readMs();
-      this.rows.set(key, {key, version, learnedMs});
-      this.register.refuse(mark.identity);
+    }
+    for (const key of this.learnedMs.keys()) {
+      if (!this.rows.has(key)) this.learnedMs.delete(key);
     }
   }
 
   stop(): void {
     clearInterval(this.rowTimer);
     clearTimeout(this.writeTimer);
+    this.rows.stop();
+  }
+
+  /** Whether a row is a mark of the service, or the removal of any mark. */
+  private isOwnRow({key, value}: StoredRow): boolean {
+    if (!value) return true;
+    const mark = this.parts.decodeMark(value);
+    return (
+      mark?.service === this.parts.service && key === buildKey(mark.identity)
+    );
   }
 
   private identify(call: OutgoingCall): string {
@@ -219,8 +249,9 @@
       for (const identity of this.unwrittenIdentities) {
         if (this.register.check(identity).isRefused) {
           this.writtenIdentities.add(identity);
+          const key = buildKey(identity);
           const row = encodeMark({service, identity});
-          await store.writeRow(buildKey(identity), row);
+          this.rows.hold(key, row, await store.writeRow(key, row));
         }
         this.unwrittenIdentities.delete(identity);
       }
@@ -242,20 +273,13 @@
    */
   private async removeRows(): Promise<void> {
     const nowMs = this.parts.clock.readMs();
-    for (const {key, version, learnedMs} of [...this.rows.values()]) {
-      const isWriter = this.writtenIdentities.has(key.slice(ROW_PREFIX.length));
+    for (const [key, learnedMs] of [...this.learnedMs]) {
+      const isWriter = this.writtenIdentities.has(parseKey(key));
       const retentionMs = isWriter ? CRASH_REFUSAL_MS : CRASH_MEMORY_MS;
       if (nowMs - learnedMs < retentionMs) continue;
-      this.rows.delete(key);
-      this.writtenIdentities.delete(key.slice(ROW_PREFIX.length));
-      try {
-        await this.parts.store.removeRow(key, version);
-      } catch (error) {
-        const {message} = error as Error;
-        this.rows.set(key, {key, version, learnedMs});
-        this.parts.record(EventCode.CRASH_ROW_DELAYED, {message});
-        return;
-      }
+      if (!(await this.rows.remove(key))) return;
+      this.learnedMs.delete(key);
+      this.writtenIdentities.delete(parseKey(key));
     }
   }
 }
@@ -263,3 +287,7 @@
 function buildKey(identity: string): string {
   return `${ROW_PREFIX}${identity}`;
 }
+
+function parseKey(key: string): string {
+  return key.slice(ROW_PREFIX.length);
+}
--- a/packages/sidecar/src/process/fleetTask.ts
+++ b/packages/sidecar/src/process/fleetTask.ts
@@ -2,13 +2,27 @@
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {chooseRemovals} from 'sycamoreyoke/process/rowRemoval';
-import {STORE_RETRY_MAX_MS} from '../constants.js';
-import type {FleetStore, NodeRecord, StoredRow} from '../types.js';
+import {
+  chooseRewriteDelayMs,
+  computeSpreadMs,
+} from 'sycamoreyoke/process/rowRewrite';
+import type {StorePosition} from 'sycamoreyoke/process/storePosition';
+import {
+  RowOrder,
+  compareRow,
+  isLostInList,
+  isRemovedInList,
+} from 'sycamoreyoke/process/storePosition';
+import type {Random} from 'sycamoreyoke/random';
+import {RESTORE_SETTLE_MS, STORE_RETRY_MAX_MS} from '../constants.js';
+import type {FleetStore, NodeRecord, RowBatch, StoredRow} from '../types.js';
+import {RowRemoval} from '../types.js';
 
 /** Dependencies of the task. */
 export interface FleetTaskParts {
   readonly self: NodeRecord;
-  readonly store: FleetStore;
+  readonly store: Pick<FleetStore, 'writeRow' | 'removeRow'>;
+  readonly random: Random;
   readonly record: EventRecorder;
   readonly encodeNode: (node: NodeRecord) => Uint8Array;
   readonly decodeNode: (content: Uint8Array) => NodeRecord | undefined;
@@ -20,9 +34,19 @@
 /** Merges the rows of the store with what the nodes report over links. */
 export class FleetTask {
   private readonly nodes = new Map<string, NodeRecord>();
-  private readonly rowVersions = new Map<string, number>();
+  private readonly positions = new Map<string, StorePosition>();
+  /**
+   * Nodes whose known record the copy of a restored store lacks, with its other
+   * record if it has one. The known record is kept until its owner has had the
+   * time to write it again.
+   */
+  private readonly unsettledRows = new Map<string, StoredRow | undefined>();
+  private listEra: number | undefined;
+  /** The era that has the latest written row of this node. */
+  private writtenEra: number | undefined;
   private isStopped = false;
   private writeTimer: NodeJS.Timeout | undefined;
+  private settleTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: FleetTaskParts) {}
 
@@ -42,34 +66,49 @@
   async announce(): Promise<void> {
     const {store, self, encodeNode, record} = this.parts;
     try {
-      await store.writeRow(self.node, encodeNode(self));
+      this.writtenEra = await store.writeRow(self.node, encodeNode(self));
     } catch (error) {
       if (this.isStopped) return;
       const {message} = error as Error;
       record(EventCode.NODE_ROW_DELAYED, {message});
-      this.announceIfMissing(false);
+      this.scheduleAnnounce(STORE_RETRY_MAX_MS);
     }
   }
 
   /**
-   * Handles a full list of the rows as of a version. Nodes missing from the
-   * list are gone, unless their rows are newer than the list.
+   * Handles a full list of the rows. Nodes missing from the list are gone,
+   * unless their rows are newer than the list or were lost in a restore.
    */
-  handleAllRows(rows: readonly StoredRow[], listVersion: number): void {
+  handleAllRows({rows, ...list}: RowBatch): void {
+    const knownEra = this.listEra ?? this.writtenEra ?? list.era;
+    const isRestored = isLostInList(knownEra, list.era);
+    this.listEra = list.era;
     const keys = new Set(rows.map(({key}) => key));
-    for (const [name, version] of this.rowVersions) {
-      if (keys.has(name) || version > listVersion) continue;
-      this.rowVersions.delete(name);
-      this.nodes.delete(name);
+    for (const [name, position] of this.positions) {
+      if (keys.has(name)) continue;
+      if (isRemovedInList(position, list)) {
+        this.positions.delete(name);
+        this.nodes.delete(name);
+      } else if (isLostInList(position.era, list.era)) {
+        this.positions.delete(name);
+        this.unsettledRows.set(name, undefined);
+      }
     }
-    this.handleChangedRows(rows);
-    if (!keys.has(this.parts.self.node)) this.announceIfMissing(false);
+    for (const row of rows) this.applyListedRow(row);
+    if (isRestored) this.handleRestore(rows);
+    else if (!keys.has(this.parts.self.node)) {
+      // The row written at the start may just not have arrived yet.
+      this.scheduleAnnounce(STORE_RETRY_MAX_MS);
+    }
+    this.parts.handleChange(this.list());
   }
 
   handleChangedRows(rows: readonly StoredRow[]): void {
-    for (const {key, value, version} of rows) {
-      if (version < (this.rowVersions.get(key) ?? 0)) continue;
-      this.rowVersions.set(key, version);
+    for (const row of rows) {
+      const {key, value, era, version} = row;
+      if (compareRow(this.positions.get(key), row) === RowOrder.OLDER) continue;
+      this.positions.set(key, {era, version});
+      this.unsettledRows.delete(key);
       this.applyRow(key, value);
     }
     this.parts.handleChange(this.list());
@@ -84,6 +123,7 @@
     const known = this.nodes.get(node.node);
     if (known?.incarnation === node.incarnation) return;
     this.nodes.set(node.node, node);
+    this.unsettledRows.delete(node.node);
     const {service} = node;
     this.parts.record(EventCode.MEMBER_JOINED, {member: node.node, service});
     this.parts.handleChange(this.list());
@@ -102,12 +142,14 @@
     const {self, store, record} = this.parts;
     const names = [...this.nodes.keys()];
     for (const member of chooseRemovals(self.node, names, unreachable)) {
-      const version = this.rowVersions.get(member);
-      if (version === undefined) continue;
+      const position = this.positions.get(member);
+      if (position === undefined) continue;
       record(EventCode.MEMBER_DEAD, {member, cause: 'unreachable'});
       try {
-        await store.removeRow(member, version);
-        this.parts.handleRemoval(member);
+        // If the store is restored meanwhile, its next list is decided on. A
+        // node whose row was removed by chance writes it again.
+        const removal = await store.removeRow(member, position);
+        if (removal === RowRemoval.DONE) this.parts.handleRemoval(member);
       } catch (error) {
         const {message} = error as Error;
         record(EventCode.NODE_ROW_DELAYED, {message});
@@ -119,20 +161,88 @@
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.writeTimer);
+    clearTimeout(this.settleTimer);
   }
 
-  /** Schedules a write if this node's row was removed or overwritten. */
-  private announceIfMissing(isPresent: boolean): void {
-    if (isPresent || this.isStopped) {
-      clearTimeout(this.writeTimer);
-      this.writeTimer = undefined;
+  /** Applies a row of a list, unless it conflicts with a known record. */
+  private applyListedRow(row: StoredRow): void {
+    const {key, value, era, version} = row;
+    const order = compareRow(this.positions.get(key), row);
+    if (order === RowOrder.OLDER) return;
+    this.positions.set(key, {era, version});
+    const known = this.nodes.get(key);
+    const isConflict =
+      order === RowOrder.LATER_ERA &&
+      known !== undefined &&
+      key !== this.parts.self.node &&
+      (value && this.parts.decodeNode(value))?.incarnation !==
+        known.incarnation;
+    if (isConflict) {
+      this.unsettledRows.set(key, row);
       return;
     }
-    // The row written at the start may just not have arrived yet.
+    this.unsettledRows.delete(key);
+    this.applyRow(key, value);
+  }
+
+  /** Writes this node's row again if the store has lost it. */
+  private handleRestore(rows: readonly StoredRow[]): void {
+    const {self, random} = this.parts;
+    const lostRows = this.unsettledRows.size + 1;
+    const own = rows.find(({key}) => key === self.node)?.value;
+    if (!this.isOwnRecord(own)) {
+      const delayMs = chooseRewriteDelayMs(
+        {
+          key: self.node,
+          holder: self.node,
+          isOwner: true,
+          nodes: this.nodes.size,
+          lostRows,
+        },
+        random,
+      );
+      this.cancelAnnounce();
+      this.scheduleAnnounce(delayMs, true);
+    }
+    clearTimeout(this.settleTimer);
+    this.settleTimer = setTimeout(
+      () => this.settleRows(),
+      computeSpreadMs(lostRows) + RESTORE_SETTLE_MS,
+    );
+  }
+
+  /** Accepts what the restored store has: no owner has written since. */
+  private settleRows(): void {
+    for (const [name, row] of this.unsettledRows) {
+      if (row) this.applyRow(name, row.value);
+      else this.nodes.delete(name);
+    }
+    this.unsettledRows.clear();
+    this.parts.handleChange(this.list());
+  }
+
+  private isOwnRecord(value: Uint8Array | undefined): boolean {
+    const {self, decodeNode} = this.parts;
+    const node = value && decodeNode(value);
+    return node?.node === self.node && node.incarnation === self.incarnation;
+  }
+
+  private cancelAnnounce(): void {
+    clearTimeout(this.writeTimer);
+    this.writeTimer = undefined;
+  }
+
+  /** Schedules a write of this node's row, unless one is scheduled. */
+  private scheduleAnnounce(delayMs: number, isLost = false): void {
+    if (this.isStopped) return;
     this.writeTimer ??= setTimeout(() => {
       this.writeTimer = undefined;
+      if (isLost) {
+        const {node: key} = this.parts.self;
+        this.parts.record(EventCode.ROW_REWRITTEN, {key, isOwner: true});
+      }
       void this.announce();
-    }, STORE_RETRY_MAX_MS);
+    }, delayMs);
   }
 
   private applyRow(key: string, value: Uint8Array | undefined): void {
@@ -140,7 +250,8 @@
     const node = value && this.parts.decodeNode(value);
     const isNode = node?.node === key;
     if (key === self.node) {
-      this.announceIfMissing(isNode && node.incarnation === self.incarnation);
+      if (this.isOwnRecord(value)) this.cancelAnnounce();
+      else this.scheduleAnnounce(STORE_RETRY_MAX_MS);
     }
     if (isNode) {
       this.nodes.set(key, node);
@@ -151,7 +262,7 @@
       this.parts.record(EventCode.MESSAGE_MALFORMED, details);
     } else {
       this.nodes.delete(key);
-      this.rowVersions.delete(key);
+      this.positions.delete(key);
     }
   }
 }
--- a/packages/sidecar/src/process/leavingTask.ts
+++ b/packages/sidecar/src/process/leavingTask.ts
@@ -9,15 +9,20 @@
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import {MAX_LEAVINGS} from 'sycamoreyoke/process/upstreamLeavings';
+import type {StorePosition} from 'sycamoreyoke/process/storePosition';
+import type {Random} from 'sycamoreyoke/random';
 import {STORE_RETRY_MAX_MS} from '../constants.js';
 import type {FleetStore, LeavingNotice, StoredRow} from '../types.js';
+import {HeldRows} from './heldRows.js';
 
 /** Dependencies of the task. */
 export interface LeavingTaskParts {
   /** Name of the node. */
   readonly node: string;
   readonly clock: Clock;
+  readonly random: Random;
   readonly record: EventRecorder;
+  readonly countNodes: () => number;
   readonly store: Pick<FleetStore, 'writeRow' | 'removeRow'>;
   readonly encodeLeavings: (leavings: readonly UpstreamLeaving[]) => Uint8Array;
   readonly decodeLeavings: (content: Uint8Array) => readonly UpstreamLeaving[];
@@ -53,7 +58,7 @@
 /** Exchanges notices of leaving upstreams between the nodes. */
 export class LeavingTask {
   private readonly notices = new Map<string, KeptNotice>();
-  private readonly rowVersions = new Map<string, number>();
+  private readonly rows: HeldRows;
   private isStopping = false;
   /** Leavings that the other nodes were last told of, as JSON. */
   private announcedContent = '';
@@ -63,7 +68,18 @@
   private needsWrite = false;
   private writeTimer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly parts: LeavingTaskParts) {}
+  constructor(private readonly parts: LeavingTaskParts) {
+    this.rows = new HeldRows({
+      node: parts.node,
+      random: parts.random,
+      record: parts.record,
+      store: parts.store,
+      countNodes: parts.countNodes,
+      isOwner: (key) => key === ROW_PREFIX + parts.node,
+      buildValue: (key, value) => this.buildRow(key, value),
+      handleDelay: (error) => this.recordDelay(error),
+    });
+  }
 
   /**
    * Handles a change of the own upstream: announces that it leaves, or removes
@@ -114,33 +130,22 @@
     }
   }
 
-  /** Handles rows of the store, from a list or a change. */
-  handleRows(rows: readonly StoredRow[]): void {
-    for (const {key, value, version} of rows) {
-      const node = key.slice(ROW_PREFIX.length);
-      if (!value) {
-        this.rowVersions.delete(node);
-        continue;
-      }
-      this.rowVersions.set(node, version);
-      if (node !== this.parts.node) continue;
-      this.parts.applyOwn(this.parts.decodeLeavings(value));
-      // The upstream may have been replaced before the row was read.
-      if (this.parts.listOwn().length === 0) void this.removeRow(node);
-    }
+  /**
+   * Handles rows of the store, from a change or from a list, which has a
+   * position and all rows of this kind.
+   */
+  handleRows(rows: readonly StoredRow[], list?: StorePosition): void {
+    this.rows.handleRows(rows, list);
+    const ownRow = rows.find(({key}) => key === ROW_PREFIX + this.parts.node);
+    if (!ownRow?.value) return;
+    this.parts.applyOwn(this.parts.decodeLeavings(ownRow.value));
+    // The upstream may have been replaced before the row was read.
+    if (this.parts.listOwn().length === 0) void this.removeRow(this.parts.node);
   }
 
   /** Removes the row of a node that is gone, or whose upstream is another. */
   async removeRow(node: string): Promise<void> {
-    const version = this.rowVersions.get(node);
-    if (version === undefined) return;
-    this.rowVersions.delete(node);
-    try {
-      await this.parts.store.removeRow(ROW_PREFIX + node, version);
-    } catch (error) {
-      this.rowVersions.set(node, version);
-      this.recordDelay(error as Error);
-    }
+    await this.rows.remove(ROW_PREFIX + node);
   }
 
   /**
@@ -160,6 +165,16 @@
     }
     this.isStopped = true;
     clearTimeout(this.writeTimer);
+    this.rows.stop();
+  }
+
+  /** Returns the row as this node knows it; the own one may have changed. */
+  private buildRow(key: string, value: Uint8Array): Uint8Array | undefined {
+    if (key !== ROW_PREFIX + this.parts.node) return value;
+    const leavings = this.parts.listOwn();
+    return leavings.length > 0
+      ? this.parts.encodeLeavings(leavings)
+      : undefined;
   }
 
   private scheduleWrite(): void {
@@ -177,7 +192,9 @@
     this.needsWrite = false;
     this.isWriting = true;
     try {
-      await store.writeRow(ROW_PREFIX + node, encodeLeavings(listOwn()));
+      const row = encodeLeavings(listOwn());
+      const era = await store.writeRow(ROW_PREFIX + node, row);
+      this.rows.hold(ROW_PREFIX + node, row, era);
     } catch (error) {
       this.needsWrite = true;
       this.recordDelay(error as Error);
--- a/packages/sidecar/src/process/storeFollower.ts
+++ b/packages/sidecar/src/process/storeFollower.ts
@@ -3,6 +3,7 @@
 import {PlatformUnavailableError, SycamoreyokeError} from 'sycamoreyoke/errors';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
+import type {StorePosition} from 'sycamoreyoke/process/storePosition';
 import {
   RELIST_PERIOD_MS,
   RELIST_INTERVAL_MS,
@@ -10,9 +11,9 @@
   STORE_RETRY_MAX_MS,
   STORE_RETRY_MIN_MS,
 } from '../constants.js';
-import type {FleetStore, StoredRow, StoreTable} from '../types.js';
+import type {FleetStore, RowBatch, StoredRow, StoreTable} from '../types.js';
 
-/** The store no longer has the changes after the requested version. */
+/** The store does not have the requested version or the changes after it. */
 export class HistoryLostError extends SycamoreyokeError {}
 
 /** A call to the store got no answer; its connection may be dead. */
@@ -24,8 +25,8 @@
   readonly store: FleetStore;
   readonly table: StoreTable;
   readonly record: EventRecorder;
-  /** Called with all rows and their version, after a list. */
-  readonly handleAllRows: (rows: readonly StoredRow[], version: number) => void;
+  /** Called with all rows, after a list. */
+  readonly handleAllRows: (batch: RowBatch) => void;
   readonly handleChangedRows: (rows: readonly StoredRow[]) => void;
   /** Pause after changes, so that several are read at once; ms. */
   readonly choosePauseMs: (changesInARow: number) => number;
@@ -39,13 +40,17 @@
 export class StoreFollower {
   private isStopped = false;
   private isReachable = true;
-  private version: number | undefined;
+  /** Up to where the table was read; undefined until it is listed. */
+  private position: StorePosition | undefined;
+  /** The latest era in which the table was read. */
+  private era: number | undefined;
   private retryMs = STORE_RETRY_MIN_MS;
   private changesInARow = 0;
   private abortController = new AbortController();
   private lastAnswerMs: number;
   private lastCallMs = 0;
   private isReset = false;
+  private endPause: () => void = () => undefined;
   /** Until then lists may be older than the lost history; clock ms. */
   private relistUntilMs = -Infinity;
 
@@ -55,12 +60,12 @@
 
   /** Whether the table was listed and the last call to the store succeeded. */
   hasContact(): boolean {
-    return this.isReachable && this.version !== undefined;
+    return this.isReachable && this.position !== undefined;
   }
 
   /** Whether the table is listed; false again once its history is lost. */
   isListed(): boolean {
-    return this.version !== undefined;
+    return this.position !== undefined;
   }
 
   async run(): Promise<void> {
@@ -83,6 +88,17 @@
     this.abortController.abort();
   }
 
+  /** Lists the table again if it was read in an earlier era of the store. */
+  handleEra(era: number): void {
+    if (!this.position || era <= this.position.era) return;
+    this.markRestored(era);
+    this.isReset = true;
+    this.endPause();
+    this.abortController.abort(
+      new HistoryLostError('the store was restored from a copy'),
+    );
+  }
+
   stop(): void {
     this.isStopped = true;
     this.abortController.abort();
@@ -93,37 +109,78 @@
     this.abortController = new AbortController();
     this.isReset = false;
     this.lastCallMs = clock.readMs();
-    if (this.version === undefined) {
+    const {position} = this;
+    if (!position) {
       await this.list();
       return;
     }
     const isRelisting = clock.readMs() < this.relistUntilMs;
-    const {rows, version} = await store.watch(
+    const {rows, era, version} = await store.watch(
       table,
-      this.version,
+      position.version,
       isRelisting ? RELIST_INTERVAL_MS : this.parts.chooseWaitMs(),
       this.abortController.signal,
     );
-    this.version = Math.max(version, this.version);
+    this.checkEra(era);
+    if (era > position.era) {
+      this.markRestored(era);
+      return;
+    }
+    this.position = {era, version: Math.max(version, position.version)};
     if (rows.length > 0) this.parts.handleChangedRows(rows);
     if (isRelisting) await this.list();
     this.changesInARow = rows.length > 0 ? this.changesInARow + 1 : 0;
     if (this.changesInARow === 0 || isRelisting) return;
     const pauseMs = this.parts.choosePauseMs(this.changesInARow);
-    if (pauseMs > 0) await wait(pauseMs);
+    if (pauseMs > 0) await this.pause(pauseMs);
   }
 
   private async list(): Promise<void> {
-    const {rows, version} = await this.parts.store.list(this.parts.table);
-    this.parts.handleAllRows(rows, version);
-    this.version = Math.max(version, this.version ?? version);
+    const batch = await this.parts.store.list(this.parts.table);
+    const {era, version} = batch;
+    this.checkEra(era);
+    const known = this.position;
+    this.era = era;
+    this.parts.handleAllRows(batch);
+    const isSameEra = known?.era === era;
+    this.position = {
+      era,
+      version: isSameEra ? Math.max(version, known.version) : version,
+    };
+  }
+
+  /** Waits before the next read, unless the store is restored meanwhile. */
+  private pause(pauseMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, pauseMs);
+      this.endPause = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  /** Rejects a late answer from before a restore. */
+  private checkEra(era: number): void {
+    if (this.era === undefined || era >= this.era) return;
+    throw new PlatformUnavailableError(
+      `the store answered from era ${era} after era ${this.era}`,
+    );
+  }
+
+  /** Lets the table be listed, since its versions are of an earlier era. */
+  private markRestored(era: number): void {
+    const {table, record} = this.parts;
+    record(EventCode.STORE_RESTORED, {table, era});
+    this.position = undefined;
+    this.changesInARow = 0;
   }
 
   private async handleFailure(error: Error): Promise<void> {
     const {table, record, clock} = this.parts;
     if (error instanceof HistoryLostError) {
       const isRepeated = clock.readMs() < this.relistUntilMs;
-      this.version = undefined;
+      this.position = undefined;
       this.relistUntilMs = clock.readMs() + RELIST_PERIOD_MS;
       record(EventCode.STORE_HISTORY_LOST, {table});
       if (isRepeated) await wait(RELIST_INTERVAL_MS);
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -4,6 +4,7 @@
 import type {SendEnd} from 'sycamoreyoke/request/resend';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
+import type {StorePosition} from 'sycamoreyoke/process/storePosition';
 import type {RouteTable} from 'sycamoreyoke/version/routeTable';
 
 const LARGEST_PORT = 65_535;
@@ -158,18 +159,30 @@
 /** Decodes stored configuration; throws a ValidationError if it is invalid. */
 export type ConfigurationDecoder = (content: Uint8Array) => RouteTable;
 
-/** A row of a table, or a change of it. */
-export interface StoredRow {
+/** A row of a table, or a change of it, and where it was read. */
+export interface StoredRow extends StorePosition {
   readonly key: string;
   /** Undefined if the row was removed. */
   readonly value: Uint8Array | undefined;
-  readonly version: number;
 }
 
 /** Rows of a table and the table version that they reflect. */
-export interface RowBatch {
+export interface RowBatch extends StorePosition {
   readonly rows: readonly StoredRow[];
-  readonly version: number;
+}
+
+/** What is known about a row that was to be removed. */
+export enum RowRemoval {
+  DONE = 'done',
+  /** The row has another version or was removed before. */
+  CHANGED = 'changed',
+  /** The store is in another era than the row's version, so nothing was sent. */
+  NOT_SENT = 'not-sent',
+  /**
+   * The answer came from another era. The store may have removed another row
+   * that has the version by chance.
+   */
+  UNCERTAIN = 'uncertain',
 }
 
 /** Tables of the platform's store that a node uses. */
@@ -188,7 +201,7 @@
   list(table: StoreTable): Promise<RowBatch>;
   /**
    * Waits for rows changed after a version. Rejects with a HistoryLostError if
-   * the store no longer has these changes, or with a StoreSilentError if it has
+   * the store does not have the version or the changes after it, or with a StoreSilentError if it has
    * not answered when the wait is over.
    */
   watch(
@@ -197,10 +210,12 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<RowBatch>;
-  /** Writes a row of the node table. */
-  writeRow(key: string, value: Uint8Array): Promise<void>;
+  /** Writes a row of the node table; resolves to the era that has it. */
+  writeRow(key: string, value: Uint8Array): Promise<number>;
   /** Removes a row of the node table if it still has the version. */
-  removeRow(key: string, version: number): Promise<void>;
+  removeRow(key: string, readIn: StorePosition): Promise<RowRemoval>;
+  /** Calls back when any answer shows that the store is in a later era. */
+  subscribeToEras(handleEra: (era: number) => void): void;
 }
 
 /** The state that a node reports to its peers. */
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -40,13 +40,14 @@
   ConfigurationTask,
 } from './process/configurationTask.js';
 import type {CrashMark} from './process/crashTask.js';
-import {CrashTask, isCrashRow} from './process/crashTask.js';
+import {CrashTask} from './process/crashTask.js';
 import type {DecisionLog} from './process/decisionLog.js';
 import {runAfterTurn} from './process/eventLoop.js';
 import {FleetTask} from './process/fleetTask.js';
-import {LeavingTask, isLeavingRow} from './process/leavingTask.js';
+import {LeavingTask} from './process/leavingTask.js';
 import {LoopWatch} from './process/loopWatch.js';
 import {computeMemoryLimits} from './process/memoryLimits.js';
+import {NodeRows} from './process/nodeRows.js';
 import {PeerTask} from './process/peerTask.js';
 import {StoreFollower} from './process/storeFollower.js';
 import {UpstreamTask} from './process/upstreamTask.js';
@@ -58,7 +59,6 @@
   NodeReport,
   ReloadableSettings,
   SidecarSettings,
-  StoredRow,
   WireProtocol,
 } from './types.js';
 import {StoreTable} from './types.js';
@@ -146,12 +146,16 @@
       peers.announceVersion(random);
     },
     handleStoreDelay: () => configurationFollower.reset(),
+    isStarting: () => !hasStarted,
   });
   const crashes = new CrashTask({
+    node: settings.node,
     incarnation: self.incarnation,
     service: settings.service,
     clock,
+    random,
     record,
+    countNodes: () => fleet.list().length,
     store,
     encodeMark: adapter.encodeMark,
     decodeMark: adapter.decodeMark,
@@ -165,7 +169,9 @@
   const leavings: LeavingTask = new LeavingTask({
     node: settings.node,
     clock,
+    random,
     record,
+    countNodes: () => fleet.list().length,
     store,
     encodeLeavings: adapter.encodeLeavings,
     decodeLeavings: adapter.decodeLeavings,
@@ -206,6 +212,7 @@
   const checkStarted = (): boolean => {
     hasStarted ||= isStarted({
       hasConfiguration: configuration.read() !== undefined,
+      isBehindPeers: configuration.isBehindPeers(),
       hasNodeList: nodeFollower.isListed(),
       knownServices: fleet.listOtherServices(),
       linkedServices: peers.listLinkedServices(),
@@ -259,6 +266,7 @@
   const fleet: FleetTask = new FleetTask({
     self,
     store,
+    random,
     record,
     encodeNode: adapter.encodeNode,
     decodeNode: adapter.decodeNode,
@@ -291,33 +299,30 @@
     store,
     table: StoreTable.CONFIGURATION,
     record,
-    handleAllRows: (rows) => configuration.handleRows(rows),
+    handleAllRows: ({rows}) => configuration.handleRows(rows),
     handleChangedRows: (rows) => configuration.handleRows(rows),
     choosePauseMs: () => 0,
     chooseWaitMs: () =>
       chooseWatchMs(random, computeMeanWatchMs(fleet.list().length)),
     handleSilence: () => peers.probeAll(),
   });
-  /** Handles the rows that describe no node; returns those that do. */
-  const handleOtherRows = (rows: readonly StoredRow[]) => {
-    crashes.handleRows(rows.filter(isCrashRow));
-    leavings.handleRows(rows.filter(isLeavingRow));
-    return rows.filter((row) => !isCrashRow(row) && !isLeavingRow(row));
-  };
+  const nodeRows = new NodeRows({fleet, crashes, leavings});
   const nodeFollower: StoreFollower = new StoreFollower({
     clock,
     store,
     table: StoreTable.NODES,
     record,
-    handleAllRows: (rows, version) =>
-      fleet.handleAllRows(handleOtherRows(rows), version),
-    handleChangedRows: (rows) => fleet.handleChangedRows(handleOtherRows(rows)),
+    handleAllRows: (batch) => nodeRows.handleAllRows(batch),
+    handleChangedRows: (rows) => nodeRows.handleChangedRows(rows),
     choosePauseMs: (changesInARow) =>
       computeListPauseMs(fleet.list().length, changesInARow),
     chooseWaitMs: () => chooseWatchMs(random, NODES_WATCH_MEAN_MS),
     handleSilence: () => peers.probeAll(),
   });
   const followers = [configurationFollower, nodeFollower];
+  store.subscribeToEras((era) => {
+    for (const follower of followers) follower.handleEra(era);
+  });
 
   const budgets = new Map<string, RetryAllowance>();
   /** Until the list is read, a node may know only itself. */
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -309,6 +309,13 @@
     'An earlier process of this node has acknowledged that upstreams leave.',
     'instances',
   ),
+  [EventCode.UPSTREAM_CHECKED]: describe(
+    'The upstream was asked for its status, since nobody knew whether it was leaving.',
+    'instance',
+    'status',
+    'verdict: serving, not-serving or unknown',
+    'elapsedMs: ms',
+  ),
   [EventCode.PLATFORM_UNAVAILABLE]: describe(
     "The platform's service stopped answering.",
     'service',
@@ -336,6 +343,16 @@
     'message',
     'silentMs: time since its last answer, ms',
   ),
+  [EventCode.STORE_RESTORED]: describe(
+    'The store came back from an older copy; the table is listed again.',
+    'table',
+    'era',
+  ),
+  [EventCode.ROW_REWRITTEN]: describe(
+    'A row that the store had lost was written again.',
+    'key',
+    'isOwner: whether it belongs to this node',
+  ),
   [EventCode.INVARIANT_VIOLATED]: describe(
     'An invariant of the design does not hold. Report it as a bug.',
     'invariant',
--- a/packages/sycamoreyoke/src/process/rowRewrite.ts
+++ b/packages/sycamoreyoke/src/process/rowRewrite.ts
@@ -59,7 +59,7 @@
 export function chooseRewriteDelayMs(row: LostRow, random: Random): number {
   const spreadMs = random() * computeSpreadMs(row.lostRows);
   if (row.isOwner) return spreadMs;
-  const group = Math.floor(Math.log2(1 + estimateRank(row)));
+  const group = Math.floor(Math.log2(1 + computeExpectedRank(row)));
   const longestOwnerMs = computeSpreadMs(row.lostRows) - MIN_SPREAD_MS;
   return OWNER_LEAD_MS + longestOwnerMs + group * HOLDER_STEP_MS + spreadMs;
 }
@@ -69,7 +69,7 @@
  * from the share of the weights above its own. Counting them would cost time
  * for each row in proportion to the nodes.
  */
-function estimateRank({key, holder, nodes}: LostRow): number {
+function computeExpectedRank({key, holder, nodes}: LostRow): number {
   const share = computeRendezvousWeight(key, holder) / WEIGHT_LIMIT;
   return Math.max(0, nodes - 1) * (1 - share);
 }
--- a/packages/sycamoreyoke/src/process/startPhase.test.ts
+++ b/packages/sycamoreyoke/src/process/startPhase.test.ts
@@ -4,6 +4,7 @@
 
 const STARTED: StartState = {
   hasConfiguration: true,
+  isBehindPeers: false,
   hasNodeList: true,
   knownServices: new Set(['photos', 'tracking']),
   linkedServices: new Set(['photos', 'tracking']),
@@ -35,3 +36,11 @@
   const unknown = {...STARTED, hasConfiguration: false, elapsedMs: 60_000};
   expect(isStarted(unknown)).to.equal(false);
 });
+
+// Guards against a node that serves by the older configuration of a restored
+// store, and against one that waits for a peer that is gone.
+it('start phase: waits up to 2 s for a newer configuration of a peer', () => {
+  const behind = {...STARTED, isBehindPeers: true};
+  expect(isStarted(behind)).to.equal(false);
+  expect(isStarted({...behind, elapsedMs: 2_000})).to.equal(true);
+});
--- a/packages/sycamoreyoke/src/process/startPhase.ts
+++ b/packages/sycamoreyoke/src/process/startPhase.ts
@@ -3,6 +3,8 @@
 /** Progress of a starting node. */
 export interface StartState {
   readonly hasConfiguration: boolean;
+  /** Whether a peer has announced a newer configuration. */
+  readonly isBehindPeers: boolean;
   /** True once the list of nodes has been read. */
   readonly hasNodeList: boolean;
   /** Services of all known nodes, except the node's own service. */
@@ -14,7 +16,8 @@
 
 /**
  * Time after which a node accepts requests even if a service has no open link,
- * since all nodes of that service may be down.
+ * since all nodes of that service may be down, or if a newer configuration has
+ * not arrived, since its peer may be gone.
  */
 const MAX_START_MS = 2_000;
 
@@ -26,9 +29,10 @@
 export function isStarted(state: StartState): boolean {
   if (!state.hasConfiguration) return false;
   if (state.elapsedMs >= MAX_START_MS) return true;
-  const {hasNodeList, knownServices, linkedServices} = state;
+  const {hasNodeList, isBehindPeers, knownServices, linkedServices} = state;
   return (
     hasNodeList &&
+    !isBehindPeers &&
     [...knownServices].every((service) => linkedServices.has(service))
   );
 }
--- a/packages/sycamoreyoke/src/process/storePosition.test.ts
+++ b/packages/sycamoreyoke/src/process/storePosition.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {
   RowOrder,
-  canRemove,
+  isRemovable,
   compareRow,
   isLostInList,
   isRemovedInList,
@@ -45,6 +45,6 @@
 
 // Guards against the removal of another row that has the version by chance.
 it('store position: a version is no condition in another era', () => {
-  const eras = [1, 2, 3].filter((era) => canRemove(KNOWN, era));
+  const eras = [1, 2, 3].filter((era) => isRemovable(KNOWN, era));
   expect(eras).to.deep.equal([2]);
 });
--- a/packages/sycamoreyoke/src/process/storePosition.ts
+++ b/packages/sycamoreyoke/src/process/storePosition.ts
@@ -56,6 +56,9 @@
  * Whether a row may be removed on the condition that it has the version in
  * which it was read. In another era, another row may have that version.
  */
-export function canRemove(readIn: StorePosition, currentEra: number): boolean {
+export function isRemovable(
+  readIn: StorePosition,
+  currentEra: number,
+): boolean {
   return readIn.era === currentEra;
 }
