Open a throttled kind as fast as admitted requests prove it

Cause: the throttle counted refused requests against a kind and let its share grow by 1.5 per decay round from 2%. A gate with 10 to 30 requests of a kind per second needed more than 6 s after the end of a fault.

Change: only results of requests that began at the present share count, in rounds of their latency. If requests fail even at the lowest share, a series of successes that was improbable before opens the kind at once; otherwise the share grows by rounds. A probe of each throttled kind is admitted every 200 ms. downstreamDecayMs is removed, since no count decays any more.

--- a/packages/bench/src/policy/variants.ts
+++ b/packages/bench/src/policy/variants.ts
@@ -1,4 +1,3 @@
-import {BUSY_DECAY_MS} from 'sycamoreyoke/process/downstreamThrottle';
 import type {Clock} from 'sycamoreyoke/clock';
 import {
   LeastInFlightRouter,
@@ -81,7 +80,6 @@
     reservedDeviations: 0,
     createWaitBound: createFixedBound(Infinity),
     downstreamHeadroom: Infinity,
-    downstreamDecayMs: BUSY_DECAY_MS,
   },
   createRouter: () => new RoundRobinRouter(),
   refusesEarly: false,
@@ -150,7 +148,6 @@
   },
   buildQueueVariant('no throttle by downstream refusals', {
     downstreamHeadroom: Infinity,
-    downstreamDecayMs: BUSY_DECAY_MS,
   }),
   {...GOODPUT_VARIANT, name: 'without early rejection', refusesEarly: false},
 ];
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -4,7 +4,6 @@
 import type {InvariantReporter} from 'sycamoreyoke/invariants';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
-import {QUIET_DECAY_MS} from 'sycamoreyoke/process/downstreamThrottle';
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
@@ -192,7 +191,6 @@
     parameters: {
       ...GOODPUT_PARAMETERS,
       queueLimit: GATE_QUEUE_LIMIT,
-      downstreamDecayMs: QUIET_DECAY_MS,
     },
     report,
     record,
--- a/packages/sycamoreyoke/src/process/downstreamThrottle.test.ts
+++ b/packages/sycamoreyoke/src/process/downstreamThrottle.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {DownstreamThrottle, QUIET_DECAY_MS} from './downstreamThrottle.js';
+import {DownstreamThrottle} from './downstreamThrottle.js';
 
 const INTERVAL_MS = 33;
 const REQUESTS = 300;
@@ -9,13 +9,14 @@
  * returns the admitted share.
  */
 function computeAdmittedShare(successShare: number): number {
-  const throttle = new DownstreamThrottle(1.5, QUIET_DECAY_MS);
+  const throttle = new DownstreamThrottle(1.5);
   let admitted = 0;
   for (let count = 0; count < REQUESTS; count += 1) {
     const nowMs = count * INTERVAL_MS;
     if (!throttle.admit('page', nowMs)) continue;
     admitted += 1;
-    throttle.observe('page', admitted % 10 < successShare * 10, nowMs);
+    const succeeded = admitted % 10 < successShare * 10;
+    throttle.observe({kind: 'page', succeeded, startedMs: nowMs, nowMs});
   }
   return admitted / REQUESTS;
 }
@@ -31,3 +32,43 @@
 it('downstream throttle: a kind that mostly succeeds is not throttled', () => {
   expect(computeAdmittedShare(0.9)).to.equal(1);
 });
+
+/** Runs 20 requests of 0.3 s per second; returns who was admitted when. */
+function runPhases(hasFault: (nowMs: number) => boolean, endMs: number) {
+  const throttle = new DownstreamThrottle(1.5);
+  const running: Array<{startedMs: number; finishedMs: number}> = [];
+  const admittedMs: number[] = [];
+  for (let nowMs = 0; nowMs < endMs; nowMs += 50) {
+    while (running[0] && running[0].finishedMs <= nowMs) {
+      const {startedMs} = running.shift() as (typeof running)[0];
+      const succeeded = !hasFault(startedMs);
+      throttle.observe({kind: 'page', succeeded, startedMs, nowMs});
+    }
+    if (!throttle.admit('page', nowMs)) continue;
+    admittedMs.push(nowMs);
+    running.push({startedMs: nowMs, finishedMs: nowMs + 300});
+  }
+  return {throttle, admittedMs};
+}
+
+// Guards against a throttle that stays open when the fault returns, because
+// the results from before still count.
+it('downstream throttle: closes again on a relapse', () => {
+  const hasFault = (nowMs: number) =>
+    (nowMs >= 2_000 && nowMs < 6_000) || nowMs >= 9_000;
+  const {throttle, admittedMs} = runPhases(hasFault, 14_000);
+  const count = (fromMs: number, toMs: number) =>
+    admittedMs.filter((ms) => ms >= fromMs && ms < toMs).length;
+  expect(count(7_500, 9_000)).to.equal(30);
+  expect(count(11_000, 14_000)).to.be.at.most(20);
+  expect(throttle.listThrottled().map(({kind}) => kind)).to.eql(['page']);
+});
+
+// Guards against a kind that is refused long after its last result.
+it('downstream throttle: without samples nothing is throttled', () => {
+  const {throttle} = runPhases(() => true, 6_000);
+  expect(throttle.listThrottled()).to.have.length(1);
+  for (let count = 0; count < 20; count += 1) {
+    expect(throttle.admit('page', 9_000)).to.equal(true);
+  }
+});
--- a/packages/sycamoreyoke/src/process/downstreamThrottle.ts
+++ b/packages/sycamoreyoke/src/process/downstreamThrottle.ts
@@ -1,81 +1,276 @@
+/** Admits requests whose calls fail further down only as far as they succeed. */
+
+/** Longest interval between two probes of a throttled kind, ms. */
+const PROBE_INTERVAL_MS = 200;
+/** Minimum share of requests that is admitted, whatever becomes of them. */
+const MIN_ADMITTED_SHARE = 0.02;
+/** Results that a kind must have before it is throttled. */
+const MIN_RESULTS_TO_CLOSE = 10;
+/** Results that a round of a throttled kind must have. */
+const MIN_RESULTS = 3;
+/** Success share from which on the admitted share grows fast. */
+const CLEAN_SHARE = 0.9;
+/** Growth for each clean round while the share is far from the last failure. */
+const FAST_GROWTH = 4;
+/** First growth above the share near which requests failed. */
+const SLOW_GROWTH = 1.3;
+/** Admitted requests, as a multiple of the share, that are mostly probes. */
+const MOSTLY_PROBES = 2;
 /**
- * Time constant of the exponential decay of the counts. With 300 ms the
- * admitted share takes 5 s to recover after downstream refusals end.
- */
-export const BUSY_DECAY_MS = 150;
-/**
- * Time constant for gates that receive only tens of requests per second. With
- * the shorter one their counts never reach the minimum for throttling.
+ * Part of the failing share up to which the share grows fast. Other gates and
+ * kinds grow at the same time.
  */
-export const QUIET_DECAY_MS = 500;
+const SAFE_PART = 0.5;
 /**
- * Minimum share of requests that is admitted, even if all of their downstream
- * calls are refused.
+ * Probability, under the success share of the fault, of a series of successes
+ * that is taken as its end.
  */
-const MIN_ADMITTED_SHARE = 0.02;
-/** Below this count of requests a kind is not throttled. */
-const MIN_REQUEST_COUNT = 10;
+const CHANCE_OF_SERIES = 0.02;
+const MAX_SERIES = 8;
+/** Weight of a new sample in the moving averages. */
+const SAMPLE_WEIGHT = 0.2;
+/** A round lasts this multiple of the mean time of a successful request. */
+const ROUND_LATENCIES = 1.2;
+/** Shortest round, ms. */
+const MIN_ROUND_MS = 20;
+/** Results older than this, and than two request times, are forgotten. */
+const EVIDENCE_MS = 2_000;
 
-/** Decaying counts of one request kind. */
-interface KindCounts {
-  /** Requests that finished or were throttled. */
-  requests: number;
+/** Results within a period in which the admitted share was the same. */
+interface Round {
+  readonly startedMs: number;
+  /** Requests that were offered and admitted in this round. */
+  offered: number;
+  admitted: number;
   succeeded: number;
-  updatedMs: number;
+  failed: number;
+  /** Successes since the last failure. */
+  series: number;
+}
+
+interface KindState {
+  /** Admitted share; 1 while the kind is not throttled. */
+  share: number;
+  /** Since when the share is the same. */
+  sharedSinceMs: number;
+  round: Round;
   /** Accumulated admitted share; each admitted request uses up 1. */
   credit: number;
+  nextProbeMs: number;
+  lastResultMs: number;
+  /** Mean time of successful requests, ms; 0 without samples. */
+  latencyMs: number;
+  /** Mean time until a result, ms. */
+  resultMs: number;
+  /** Share at which requests failed last, if fewer succeeded. */
+  failingShare: number | undefined;
+  /**
+   * Success share at the lowest admitted share, if requests fail even then. The
+   * failures do not depend on what is admitted here.
+   */
+  shareOfProbes: number | undefined;
+  /** Growth of the next clean round near the failing share. */
+  growth: number;
+}
+
+/** What the throttle does with a kind, for operators. */
+export interface ThrottledKind {
+  readonly kind: string;
+  readonly share: number;
+}
+
+/** Result of a request that ran. */
+export interface ThrottleResult {
+  readonly kind: string;
+  readonly succeeded: boolean;
+  readonly startedMs: number;
+  readonly nowMs: number;
 }
 
 /**
  * Throttles request kinds whose own calls are refused downstream. Such a
  * request would occupy a slot here and fail, in place of one that could
- * succeed. For each success `headroom` requests are admitted; a value above 1
- * lets the admitted share grow again once the refusals end.
+ * succeed. Handles two kinds of load: a deep service that rejects calls
+ * whatever its load, and one that is short of capacity. Only requests that were
+ * admitted are evidence, over at least one round of their latency.
+ *
+ * - The share falls in proportion to the successes, times `headroom`.
+ * - If requests succeed at the new share, it grows: fast up to half of the share
+ *   that failed, then slowly, and faster with each round without failures.
+ * - If they fail even at the lowest share, admitting less does not help. Then a
+ *   series of successes that was improbable before shows the end of the fault,
+ *   and the kind is opened at once.
  */
 export class DownstreamThrottle {
-  private readonly kinds = new Map<string, KindCounts>();
+  private readonly kinds = new Map<string, KindState>();
 
   constructor(
     private readonly headroom: number,
-    private readonly decayMs = BUSY_DECAY_MS,
+    private readonly probeIntervalMs = PROBE_INTERVAL_MS,
   ) {}
 
   /** Records the result of a request that ran. */
-  observe(kind: string, succeeded: boolean, nowMs: number): void {
-    const counts = this.refreshCounts(kind, nowMs);
-    counts.requests += 1;
-    if (succeeded) counts.succeeded += 1;
+  observe({kind, succeeded, startedMs, nowMs}: ThrottleResult): void {
+    const state = this.readState(kind, nowMs);
+    const elapsedMs = nowMs - startedMs;
+    state.lastResultMs = nowMs;
+    state.resultMs = computeAverage(state.resultMs, elapsedMs);
+    if (succeeded) state.latencyMs = computeAverage(state.latencyMs, elapsedMs);
+    const {round} = state;
+    if (state.share < 1 && startedMs < state.sharedSinceMs) return;
+    if (succeeded) {
+      round.succeeded += 1;
+      round.series += 1;
+    } else {
+      round.failed += 1;
+      round.series = 0;
+    }
+    this.decide(state, nowMs);
   }
 
   /** Decides whether to admit a request of the kind, and counts it. */
   admit(kind: string, nowMs: number): boolean {
-    const counts = this.refreshCounts(kind, nowMs);
-    const share = this.computeShare(counts);
-    if (share >= 1) return true;
-    counts.credit += share;
-    if (counts.credit >= 1) {
-      counts.credit -= 1;
+    const state = this.readState(kind, nowMs);
+    const {round} = state;
+    round.offered += 1;
+    if (!this.isAdmitted(state, nowMs)) return false;
+    round.admitted += 1;
+    return true;
+  }
+
+  /** Lists the kinds that are throttled now. */
+  listThrottled(): readonly ThrottledKind[] {
+    return [...this.kinds]
+      .filter(([, {share}]) => share < 1)
+      .map(([kind, {share}]) => ({kind, share}));
+  }
+
+  private isAdmitted(state: KindState, nowMs: number): boolean {
+    if (state.share >= 1 || this.headroom === Infinity) return true;
+    state.credit = Math.min(2, state.credit + state.share);
+    if (state.credit >= 1) {
+      state.credit -= 1;
       return true;
     }
-    counts.requests += 1;
-    return false;
+    if (nowMs < state.nextProbeMs) return false;
+    const {probeIntervalMs} = this;
+    state.nextProbeMs = Math.max(nowMs, state.nextProbeMs + probeIntervalMs);
+    return true;
   }
 
-  private computeShare({requests, succeeded}: KindCounts): number {
-    if (requests < MIN_REQUEST_COUNT) return 1;
-    return Math.max(MIN_ADMITTED_SHARE, (this.headroom * succeeded) / requests);
+  private decide(state: KindState, nowMs: number): void {
+    const {round} = state;
+    if (this.isEndOfFault(state)) {
+      state.shareOfProbes = undefined;
+      setShare(state, 1, nowMs);
+      return;
+    }
+    const results = round.succeeded + round.failed;
+    const roundMs = Math.max(MIN_ROUND_MS, ROUND_LATENCIES * state.latencyMs);
+    const isComplete =
+      nowMs - round.startedMs >= roundMs &&
+      results >= (state.share < 1 ? MIN_RESULTS : MIN_RESULTS_TO_CLOSE);
+    if (!isComplete) return;
+    const succeededShare = round.succeeded / results;
+    if (this.headroom * succeededShare < 1) {
+      this.close(state, succeededShare, nowMs);
+    } else if (state.share < 1) {
+      this.open(state, succeededShare, nowMs);
+    } else {
+      state.failingShare = undefined;
+      state.round = createRound(nowMs);
+    }
   }
 
-  private refreshCounts(kind: string, nowMs: number): KindCounts {
-    let counts = this.kinds.get(kind);
-    if (!counts) {
-      counts = {requests: 0, succeeded: 0, updatedMs: nowMs, credit: 0};
-      this.kinds.set(kind, counts);
+  /** Whether the requests have succeeded too often for the earlier fault. */
+  private isEndOfFault({shareOfProbes, round}: KindState): boolean {
+    if (shareOfProbes === undefined) return false;
+    const needed =
+      Math.log(CHANCE_OF_SERIES) / Math.log(Math.max(0.01, shareOfProbes));
+    const series = Math.min(MAX_SERIES, Math.max(2, Math.ceil(needed)));
+    return round.series >= series;
+  }
+
+  private close(state: KindState, succeededShare: number, nowMs: number): void {
+    state.growth = SLOW_GROWTH;
+    if (!isLowest(state)) {
+      state.failingShare = state.share;
+      state.shareOfProbes = undefined;
+      const share = state.share * this.headroom * succeededShare;
+      setShare(state, Math.max(MIN_ADMITTED_SHARE, share), nowMs);
+      return;
+    }
+    state.shareOfProbes =
+      state.shareOfProbes === undefined
+        ? succeededShare
+        : computeAverage(state.shareOfProbes, succeededShare);
+    state.failingShare = undefined;
+    const {series} = state.round;
+    state.round = {...createRound(nowMs), series};
+  }
+
+  private open(state: KindState, succeededShare: number, nowMs: number): void {
+    const {round, failingShare = 1} = state;
+    const admitted = Math.max(state.share, round.admitted / round.offered || 0);
+    const safeShare = SAFE_PART * failingShare;
+    if (succeededShare < CLEAN_SHARE) {
+      setShare(state, admitted * this.headroom * succeededShare, nowMs);
+    } else if (admitted < safeShare) {
+      setShare(state, Math.min(FAST_GROWTH * admitted, safeShare), nowMs);
+    } else {
+      setShare(state, admitted * state.growth, nowMs);
+      state.growth *= state.growth;
     }
-    const factor = Math.exp((counts.updatedMs - nowMs) / this.decayMs);
-    counts.requests *= factor;
-    counts.succeeded *= factor;
-    counts.updatedMs = nowMs;
-    return counts;
   }
+
+  private readState(kind: string, nowMs: number): KindState {
+    const known = this.kinds.get(kind);
+    if (known && isRecent(known, nowMs)) return known;
+    const state: KindState = {
+      share: 1,
+      sharedSinceMs: nowMs,
+      round: createRound(nowMs),
+      credit: 0,
+      nextProbeMs: nowMs,
+      lastResultMs: nowMs,
+      latencyMs: known?.latencyMs ?? 0,
+      resultMs: known?.resultMs ?? 0,
+      failingShare: undefined,
+      shareOfProbes: undefined,
+      growth: SLOW_GROWTH,
+    };
+    this.kinds.set(kind, state);
+    return state;
+  }
+}
+
+function isRecent({lastResultMs, resultMs}: KindState, nowMs: number): boolean {
+  return nowMs - lastResultMs <= Math.max(EVIDENCE_MS, 2 * resultMs);
+}
+
+/** Whether a lower share would not admit fewer requests, but for the probes. */
+function isLowest({share, round}: KindState): boolean {
+  const mostlyProbes = round.admitted >= MOSTLY_PROBES * share * round.offered;
+  return share <= MIN_ADMITTED_SHARE || (share < 1 && mostlyProbes);
+}
+
+function setShare(state: KindState, share: number, nowMs: number): void {
+  state.share = Math.min(1, share);
+  state.sharedSinceMs = nowMs;
+  state.round = createRound(nowMs);
+}
+
+function createRound(startedMs: number): Round {
+  return {
+    startedMs,
+    offered: 0,
+    admitted: 0,
+    succeeded: 0,
+    failed: 0,
+    series: 0,
+  };
+}
+
+function computeAverage(average: number, sample: number): number {
+  return average === 0 ? sample : average + SAMPLE_WEIGHT * (sample - average);
 }
--- a/packages/sycamoreyoke/src/process/gate.ts
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -269,7 +269,9 @@
     const isChildShed =
       completion === Completion.SHED_DOWNSTREAM ||
       completion === Completion.TIMED_OUT;
-    if (succeeded || isChildShed) this.throttle.observe(kind, succeeded, nowMs);
+    if (succeeded || isChildShed) {
+      this.throttle.observe({kind, succeeded, startedMs, nowMs});
+    }
   }
 
   /**
@@ -396,6 +398,5 @@
 }
 
 function createThrottle(parameters: GateParameters): DownstreamThrottle {
-  const {downstreamHeadroom, downstreamDecayMs} = parameters;
-  return new DownstreamThrottle(downstreamHeadroom, downstreamDecayMs);
+  return new DownstreamThrottle(parameters.downstreamHeadroom);
 }
--- a/packages/sycamoreyoke/src/process/gateParameters.ts
+++ b/packages/sycamoreyoke/src/process/gateParameters.ts
@@ -1,5 +1,4 @@
 import {DEFAULT_QUEUE_LIMIT} from './constants.js';
-import {BUSY_DECAY_MS} from './downstreamThrottle.js';
 import type {WaitBoundFactory} from './waitBound.js';
 import {createFixedBound} from './waitBound.js';
 import type {WaitingOrder} from './waitQueue.js';
@@ -23,8 +22,6 @@
    * calls are refused downstream. Infinity admits all.
    */
   readonly downstreamHeadroom: number;
-  /** Time constant of the decay of the throttle's counts, ms. */
-  readonly downstreamDecayMs: number;
 }
 
 /**
@@ -37,7 +34,6 @@
   reservedDeviations: 2,
   createWaitBound: createFixedBound(Infinity),
   downstreamHeadroom: 1.5,
-  downstreamDecayMs: BUSY_DECAY_MS,
 };
 
 /**
@@ -50,5 +46,4 @@
   reservedDeviations: 2,
   createWaitBound: createFixedBound(200),
   downstreamHeadroom: 2,
-  downstreamDecayMs: BUSY_DECAY_MS,
 };
