Refuse requests at the origin whose calls would fail

Cause: during a deep fault almost every request was begun and failed with 500 after work at several services; CRITICAL ones always.

Less important routes that fail too are throttled first. Calls for running requests are never refused here. Event REQUEST_NOT_BEGUN, metrics requests_not_begun_total, routes_throttled and gate_kinds_throttled.

--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -146,6 +146,11 @@
     };
   }
 
+  /** Counts the kinds of calls that the gate throttles. */
+  countThrottled(): number {
+    return this.gate.countThrottled();
+  }
+
   countCalls(): number {
     return this.calls.size;
   }
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -24,6 +24,7 @@
   WireProtocol,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import type {BeginCheck} from './beginCheck.js';
 import type {Answer, RoutedRequest} from './originCall.js';
 import {ByteList} from '../connection/byteList.js';
 import type {ClientExchange} from '../connection/clientExchange.js';
@@ -44,6 +45,7 @@
   readonly metrics: Metrics;
   readonly readTable: () => RouteTable | undefined;
   readonly readRetryBudget: (service: string) => RetryAllowance;
+  readonly beginCheck: BeginCheck;
   /** Finds the running request for which the upstream makes a call, if any. */
   readonly startChildCall: (deadlineMs: number) => ParentCall | undefined;
   /** Returns the schedule of the stop once the node is stopping. */
@@ -168,8 +170,17 @@
     const deadlineMs =
       parent && stop ? stop.clampDeadline(routeDeadlineMs) : routeDeadlineMs;
     const importance = chooseImportance(route, account, parent);
+    const {requestId} = head;
+    const retryMs = parent?.isConfirmed
+      ? undefined
+      : this.parts.beginCheck.check({requestId, route, importance});
+    if (retryMs !== undefined) {
+      const message = 'calls of the request would fail';
+      this.refuse(exchange, Status.UNAVAILABLE, message, retryMs);
+      return;
+    }
     this.start(exchange, {
-      requestId: head.requestId,
+      requestId,
       route,
       service,
       importance,
@@ -262,10 +273,12 @@
 
   private answer(
     exchange: ClientExchange,
-    {requestId, route, arrivedMs}: RoutedRequest,
+    routed: RoutedRequest,
     {kind, result}: Answer,
   ): void {
+    const {requestId, route, arrivedMs} = routed;
     if (kind === AnswerKind.RESPONSE) {
+      this.parts.beginCheck.observe(routed, result.status);
       const elapsedMs = this.parts.clock.readMs() - arrivedMs;
       this.requestTimes.observe(route.name, elapsedMs);
       this.forward(exchange, result);
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -49,6 +49,7 @@
 import {PeerTask} from './process/peerTask.js';
 import {StoreFollower} from './process/storeFollower.js';
 import {UpstreamTask} from './process/upstreamTask.js';
+import {BeginCheck} from './request/beginCheck.js';
 import {OriginHandler} from './request/originHandler.js';
 import type {
   ConfigurationDecoder,
@@ -339,6 +340,7 @@
     budgets.set(service, budget);
     return budget;
   };
+  const beginCheck = new BeginCheck({clock, record, metrics});
   const origin = new OriginHandler({
     clock,
     random,
@@ -350,6 +352,7 @@
     metrics,
     readTable: () => configuration.read()?.table,
     readRetryBudget,
+    beginCheck,
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
     readStopSchedule: () => lifecycle.stop,
   });
@@ -367,6 +370,8 @@
   metrics.watch('gate_running', () => upstream.describeLoad().running);
   metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
   metrics.watch('gate_limit', () => upstream.describeLoad().limit);
+  metrics.watch('gate_kinds_throttled', () => upstream.countThrottled());
+  metrics.watch('routes_throttled', () => beginCheck.countThrottled());
   metrics.watch('links_open', () => peers.countOpen());
   metrics.watch('configuration_version', () => configuration.readVersion());
   metrics.watch('log_lines_dropped', () => log.countDropped());
--- a/packages/sycamoreyoke/src/process/downstreamThrottle.test.ts
+++ b/packages/sycamoreyoke/src/process/downstreamThrottle.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {DownstreamThrottle} from './downstreamThrottle.js';
+import {DownstreamThrottle, GATE_THROTTLE} from './downstreamThrottle.js';
 
 const INTERVAL_MS = 33;
 const REQUESTS = 300;
@@ -9,7 +9,7 @@
  * returns the admitted share.
  */
 function computeAdmittedShare(successShare: number): number {
-  const throttle = new DownstreamThrottle(1.5);
+  const throttle = new DownstreamThrottle(GATE_THROTTLE);
   let admitted = 0;
   for (let count = 0; count < REQUESTS; count += 1) {
     const nowMs = count * INTERVAL_MS;
@@ -35,7 +35,7 @@
 
 /** Runs 20 requests of 0.3 s per second; returns who was admitted when. */
 function runPhases(hasFault: (nowMs: number) => boolean, endMs: number) {
-  const throttle = new DownstreamThrottle(1.5);
+  const throttle = new DownstreamThrottle(GATE_THROTTLE);
   const running: Array<{startedMs: number; finishedMs: number}> = [];
   const admittedMs: number[] = [];
   for (let nowMs = 0; nowMs < endMs; nowMs += 50) {
@@ -61,13 +61,13 @@
     admittedMs.filter((ms) => ms >= fromMs && ms < toMs).length;
   expect(count(7_500, 9_000)).to.equal(30);
   expect(count(11_000, 14_000)).to.be.at.most(20);
-  expect(throttle.listThrottled().map(({kind}) => kind)).to.eql(['page']);
+  expect(throttle.listThrottled(14_000).map(({kind}) => kind)).to.eql(['page']);
 });
 
 // Guards against a kind that is refused long after its last result.
 it('downstream throttle: without samples nothing is throttled', () => {
   const {throttle} = runPhases(() => true, 6_000);
-  expect(throttle.listThrottled()).to.have.length(1);
+  expect(throttle.listThrottled(6_000)).to.have.length(1);
   for (let count = 0; count < 20; count += 1) {
     expect(throttle.admit('page', 9_000)).to.equal(true);
   }
--- a/packages/sycamoreyoke/src/process/downstreamThrottle.ts
+++ b/packages/sycamoreyoke/src/process/downstreamThrottle.ts
@@ -1,13 +1,7 @@
 /** Admits requests whose calls fail further down only as far as they succeed. */
 
-/** Longest interval between two probes of a throttled kind, ms. */
-const PROBE_INTERVAL_MS = 200;
 /** Minimum share of requests that is admitted, whatever becomes of them. */
 const MIN_ADMITTED_SHARE = 0.02;
-/** Results that a kind must have before it is throttled. */
-const MIN_RESULTS_TO_CLOSE = 10;
-/** Results that a round of a throttled kind must have. */
-const MIN_RESULTS = 3;
 /** Success share from which on the admitted share grows fast. */
 const CLEAN_SHARE = 0.9;
 /** Growth for each clean round while the share is far from the last failure. */
@@ -21,20 +15,24 @@
  * kinds grow at the same time.
  */
 const SAFE_PART = 0.5;
-/**
- * Probability, under the success share of the fault, of a series of successes
- * that is taken as its end.
- */
-const CHANCE_OF_SERIES = 0.02;
+/** Longest series of successes that shows the end of a fault. */
 const MAX_SERIES = 8;
+/** Assumed success share of a fault in which no request succeeded. */
+const MIN_SUCCESS_SHARE = 0.05;
 /** Weight of a new sample in the moving averages. */
 const SAMPLE_WEIGHT = 0.2;
 /** A round lasts this multiple of the mean time of a successful request. */
 const ROUND_LATENCIES = 1.2;
 /** Shortest round, ms. */
 const MIN_ROUND_MS = 20;
-/** Results older than this, and than two request times, are forgotten. */
-const EVIDENCE_MS = 2_000;
+/**
+ * Results are forgotten after this many intervals between probes, and two
+ * request times.
+ */
+const EVIDENCE_PROBES = 10;
+
+/** Requests that may be admitted at once after a pause. */
+const MAX_CREDIT = 4;
 
 /** Results within a period in which the admitted share was the same. */
 interface Round {
@@ -73,6 +71,38 @@
   growth: number;
 }
 
+/** Parameters of a throttle. */
+export interface ThrottleParameters {
+  /** Requests admitted per success; Infinity admits all. */
+  readonly headroom: number;
+  /** Longest interval between two probes of a throttled kind, ms. */
+  readonly probeIntervalMs: number;
+  /** Results that a kind must have before it is throttled. */
+  readonly minResultsToClose: number;
+  /** Results that a round of a throttled kind must have. */
+  readonly minResults: number;
+  /**
+   * Probability, under the success share of the fault, of a series of
+   * successes that is taken as its end.
+   */
+  readonly seriesChance: number;
+  /**
+   * Requests of a throttled kind that each success admits at once. Below a
+   * success share of its inverse they die out.
+   */
+  readonly creditPerSuccess: number;
+}
+
+/** Parameters for a gate with ten or more requests of a kind per second. */
+export const GATE_THROTTLE: ThrottleParameters = {
+  headroom: 1.5,
+  probeIntervalMs: 200,
+  minResultsToClose: 10,
+  minResults: 3,
+  seriesChance: 0.02,
+  creditPerSuccess: 0,
+};
+
 /** What the throttle does with a kind, for operators. */
 export interface ThrottledKind {
   readonly kind: string;
@@ -104,10 +134,7 @@
 export class DownstreamThrottle {
   private readonly kinds = new Map<string, KindState>();
 
-  constructor(
-    private readonly headroom: number,
-    private readonly probeIntervalMs = PROBE_INTERVAL_MS,
-  ) {}
+  constructor(private readonly parameters: ThrottleParameters) {}
 
   /** Records the result of a request that ran. */
   observe({kind, succeeded, startedMs, nowMs}: ThrottleResult): void {
@@ -121,6 +148,7 @@
     if (succeeded) {
       round.succeeded += 1;
       round.series += 1;
+      state.credit += this.parameters.creditPerSuccess;
     } else {
       round.failed += 1;
       round.series = 0;
@@ -128,38 +156,73 @@
     this.decide(state, nowMs);
   }
 
-  /** Decides whether to admit a request of the kind, and counts it. */
-  admit(kind: string, nowMs: number): boolean {
+  /**
+   * Decides whether to admit a request of the kind, and counts it.
+   * @param maxShare limits the admitted share of a throttled kind.
+   */
+  admit(kind: string, nowMs: number, maxShare = 1): boolean {
     const state = this.readState(kind, nowMs);
     const {round} = state;
     round.offered += 1;
-    if (!this.isAdmitted(state, nowMs)) return false;
+    if (!this.isAdmitted(state, nowMs, maxShare)) return false;
     round.admitted += 1;
     return true;
   }
 
+  /** Throttles an open kind to the lowest share. */
+  close(kind: string, nowMs: number): void {
+    const state = this.readState(kind, nowMs);
+    if (state.share < 1) return;
+    state.failingShare = 1;
+    state.growth = SLOW_GROWTH;
+    setShare(state, MIN_ADMITTED_SHARE, nowMs);
+  }
+
+  /** Makes the next request of the kind a probe. */
+  advanceProbe(kind: string, nowMs: number): void {
+    const state = this.kinds.get(kind);
+    if (state) state.nextProbeMs = Math.min(state.nextProbeMs, nowMs);
+  }
+
+  /** Returns the admitted share of the kind; 1 if it is not throttled. */
+  readShare(kind: string, nowMs: number): number {
+    const state = this.kinds.get(kind);
+    return state && this.isRecent(state, nowMs) ? state.share : 1;
+  }
+
+  /** Whether the latest result of the kind was a success. */
+  isSucceeding(kind: string): boolean {
+    return (this.kinds.get(kind)?.round.series ?? 0) > 0;
+  }
+
   /** Lists the kinds that are throttled now. */
-  listThrottled(): readonly ThrottledKind[] {
+  listThrottled(nowMs: number): readonly ThrottledKind[] {
     return [...this.kinds]
-      .filter(([, {share}]) => share < 1)
+      .filter(([, state]) => state.share < 1 && this.isRecent(state, nowMs))
       .map(([kind, {share}]) => ({kind, share}));
   }
 
-  private isAdmitted(state: KindState, nowMs: number): boolean {
-    if (state.share >= 1 || this.headroom === Infinity) return true;
-    state.credit = Math.min(2, state.credit + state.share);
+  private isAdmitted(
+    state: KindState,
+    nowMs: number,
+    maxShare: number,
+  ): boolean {
+    const {headroom, probeIntervalMs} = this.parameters;
+    if (state.share >= 1 || headroom === Infinity) return true;
+    const share = Math.min(state.share, maxShare);
+    state.credit = Math.min(MAX_CREDIT, state.credit + share);
     if (state.credit >= 1) {
       state.credit -= 1;
       return true;
     }
     if (nowMs < state.nextProbeMs) return false;
-    const {probeIntervalMs} = this;
     state.nextProbeMs = Math.max(nowMs, state.nextProbeMs + probeIntervalMs);
     return true;
   }
 
   private decide(state: KindState, nowMs: number): void {
     const {round} = state;
+    const {headroom, minResults, minResultsToClose} = this.parameters;
     if (this.isEndOfFault(state)) {
       state.shareOfProbes = undefined;
       setShare(state, 1, nowMs);
@@ -169,11 +232,11 @@
     const roundMs = Math.max(MIN_ROUND_MS, ROUND_LATENCIES * state.latencyMs);
     const isComplete =
       nowMs - round.startedMs >= roundMs &&
-      results >= (state.share < 1 ? MIN_RESULTS : MIN_RESULTS_TO_CLOSE);
+      results >= (state.share < 1 ? minResults : minResultsToClose);
     if (!isComplete) return;
     const succeededShare = round.succeeded / results;
-    if (this.headroom * succeededShare < 1) {
-      this.close(state, succeededShare, nowMs);
+    if (headroom * succeededShare < 1) {
+      this.narrow(state, succeededShare, nowMs);
     } else if (state.share < 1) {
       this.open(state, succeededShare, nowMs);
     } else {
@@ -186,17 +249,22 @@
   private isEndOfFault({shareOfProbes, round}: KindState): boolean {
     if (shareOfProbes === undefined) return false;
     const needed =
-      Math.log(CHANCE_OF_SERIES) / Math.log(Math.max(0.01, shareOfProbes));
-    const series = Math.min(MAX_SERIES, Math.max(2, Math.ceil(needed)));
+      Math.log(this.parameters.seriesChance) /
+      Math.log(Math.max(MIN_SUCCESS_SHARE, shareOfProbes));
+    const series = Math.min(MAX_SERIES, Math.ceil(needed));
     return round.series >= series;
   }
 
-  private close(state: KindState, succeededShare: number, nowMs: number): void {
+  private narrow(
+    state: KindState,
+    succeededShare: number,
+    nowMs: number,
+  ): void {
     state.growth = SLOW_GROWTH;
     if (!isLowest(state)) {
       state.failingShare = state.share;
       state.shareOfProbes = undefined;
-      const share = state.share * this.headroom * succeededShare;
+      const share = state.share * this.parameters.headroom * succeededShare;
       setShare(state, Math.max(MIN_ADMITTED_SHARE, share), nowMs);
       return;
     }
@@ -214,7 +282,11 @@
     const admitted = Math.max(state.share, round.admitted / round.offered || 0);
     const safeShare = SAFE_PART * failingShare;
     if (succeededShare < CLEAN_SHARE) {
-      setShare(state, admitted * this.headroom * succeededShare, nowMs);
+      setShare(
+        state,
+        admitted * this.parameters.headroom * succeededShare,
+        nowMs,
+      );
     } else if (admitted < safeShare) {
       setShare(state, Math.min(FAST_GROWTH * admitted, safeShare), nowMs);
     } else {
@@ -223,9 +295,15 @@
     }
   }
 
+  private isRecent(state: KindState, nowMs: number): boolean {
+    const {lastResultMs, resultMs} = state;
+    const evidenceMs = EVIDENCE_PROBES * this.parameters.probeIntervalMs;
+    return nowMs - lastResultMs <= Math.max(evidenceMs, 2 * resultMs);
+  }
+
   private readState(kind: string, nowMs: number): KindState {
     const known = this.kinds.get(kind);
-    if (known && isRecent(known, nowMs)) return known;
+    if (known && this.isRecent(known, nowMs)) return known;
     const state: KindState = {
       share: 1,
       sharedSinceMs: nowMs,
@@ -244,10 +322,6 @@
   }
 }
 
-function isRecent({lastResultMs, resultMs}: KindState, nowMs: number): boolean {
-  return nowMs - lastResultMs <= Math.max(EVIDENCE_MS, 2 * resultMs);
-}
-
 /** Whether a lower share would not admit fewer requests, but for the probes. */
 function isLowest({share, round}: KindState): boolean {
   const mostlyProbes = round.admitted >= MOSTLY_PROBES * share * round.offered;
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -128,6 +128,12 @@
     'hasKey: whether the request had a key',
     'version: configuration version',
   ),
+  [EventCode.REQUEST_NOT_BEGUN]: describe(
+    'The origin refused a request because recent requests of its route failed: their calls were rejected further down.',
+    'route',
+    'importance',
+    'share: admitted share of the route',
+  ),
   [EventCode.CALL_ROUTED]: describe(
     'The egress sent a call to a member.',
     'service',
--- a/packages/sycamoreyoke/src/process/gate.ts
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -5,7 +5,7 @@
 import {Importance, RefusalReason} from '../types.js';
 import type {QueueState} from './admissionEstimate.js';
 import {AdmissionEstimate} from './admissionEstimate.js';
-import {DownstreamThrottle} from './downstreamThrottle.js';
+import {DownstreamThrottle, GATE_THROTTLE} from './downstreamThrottle.js';
 import type {GateParameters} from './gateParameters.js';
 import type {ConcurrencyLimiter} from './limiter.js';
 import {ServiceTimes} from './serviceTimes.js';
@@ -142,6 +142,11 @@
     return this.waiting.size;
   }
 
+  /** Counts the request kinds whose calls are refused downstream. */
+  countThrottled(): number {
+    return this.throttle.listThrottled(this.parts.clock.readMs()).length;
+  }
+
   readLimit(): number {
     return this.parts.limiter.readLimit();
   }
@@ -398,5 +403,8 @@
 }
 
 function createThrottle(parameters: GateParameters): DownstreamThrottle {
-  return new DownstreamThrottle(parameters.downstreamHeadroom);
+  return new DownstreamThrottle({
+    ...GATE_THROTTLE,
+    headroom: parameters.downstreamHeadroom,
+  });
 }
--- a/packages/sycamoreyoke/src/process/treeLoad.test.ts
+++ b/packages/sycamoreyoke/src/process/treeLoad.test.ts
@@ -1,12 +1,13 @@
 /** Simulated load of call trees for the tests of contended capacity. */
 import {VirtualClock} from '../clock.js';
 import type {Random} from '../random.js';
-import {createRandom} from '../random.js';
+import {createRandom, takeInteger} from '../random.js';
 import {Importance} from '../types.js';
 import {AdaptiveGate} from './gate.js';
 import {GOODPUT_PARAMETERS} from './gateParameters.js';
 import {Heap} from './heap.js';
 import {FixedLimiter} from './limiter.js';
+import {OriginAdmission} from './originAdmission.js';
 import type {RetryAllowance} from './retryAllowance.js';
 import {createRetryAllowance} from './retryAllowance.js';
 import {Completion, GateActionKind} from './types.js';
@@ -17,6 +18,7 @@
 /** Calls that a request makes to the deep service, one after the other. */
 export const CALLS_PER_TREE = 4;
 const GATES = 6;
+const ORIGINS = 24;
 const NODES = 62;
 const BOUNDS = {share: 0.2, slack: 94};
 
@@ -36,6 +38,12 @@
   {name: 'slow', importance: Importance.LOW, perSecond: 10, callMs: 250},
 ];
 
+/** The same kinds, with the quick one as a booking. */
+export const BOOKING_KINDS: readonly TreeKind[] = KINDS.map((kind) => ({
+  ...kind,
+  importance: kind.name === 'quick' ? Importance.CRITICAL : kind.importance,
+}));
+
 /** A request and what became of it. */
 export interface Tree {
   readonly kind: TreeKind;
@@ -43,6 +51,8 @@
   startedMs: number;
   answeredCalls: number;
   isServed: boolean;
+  /** Refused by the origin before it was begun. */
+  isRefusedAtOrigin: boolean;
 }
 
 /** The service that all trees call; decides whether it rejects a call. */
@@ -76,6 +86,9 @@
   readonly deep: DeepService;
   readonly downstreamHeadroom?: number;
   readonly seed?: number;
+  /** Whether origins refuse requests whose calls will probably fail. */
+  readonly refusesAtOrigin?: boolean;
+  readonly kinds?: readonly TreeKind[];
   readonly takeRetry?: (allowance: RetryAllowance, tree: Tree) => boolean;
 }
 
@@ -104,6 +117,7 @@
   private readonly callsMs: number[] = [];
   private readonly retriesMs: number[] = [];
   private readonly trees: Tree[] = [];
+  private readonly origins: OriginAdmission[] = [];
 
   constructor(private readonly policy: LoadPolicy) {
     this.random = createRandom(policy.seed ?? 7);
@@ -134,7 +148,7 @@
       report: () => undefined,
     });
     const allowance = createRetryAllowance(this.clock, BOUNDS, () => NODES);
-    for (const kind of KINDS) {
+    for (const kind of this.policy.kinds ?? KINDS) {
       const intervalMs = 1_000 / kind.perSecond;
       let dueMs = this.random() * intervalMs;
       for (; dueMs < LOAD_END_MS; dueMs += intervalMs * 2 * this.random()) {
@@ -155,21 +169,44 @@
       startedMs: nowMs,
       answeredCalls: 0,
       isServed: false,
+      isRefusedAtOrigin: false,
     };
+    const origin = this.chooseOrigin();
     const ticket = String(this.trees.push(tree));
+    const {importance, name: route} = kind;
+    if (origin && !origin.admit({route, importance}, nowMs)) {
+      tree.isRefusedAtOrigin = true;
+      return;
+    }
     const actions = gate.offer({
       ticket,
-      importance: kind.importance,
+      importance,
       deadline: nowMs + 10_000,
       requestClass: kind.name,
     });
     if (actions[0]?.kind !== GateActionKind.START) return;
     this.call(allowance, tree, 1, (completion) => {
-      tree.isServed = completion === Completion.SUCCEEDED;
+      const succeeded = completion === Completion.SUCCEEDED;
+      tree.isServed = succeeded;
+      const finishedMs = this.clock.readMs();
+      origin?.observe({
+        route,
+        importance,
+        succeeded,
+        startedMs: nowMs,
+        nowMs: finishedMs,
+      });
       gate.finish(ticket, completion);
     });
   }
 
+  private chooseOrigin(): OriginAdmission | undefined {
+    if (!this.policy.refusesAtOrigin) return undefined;
+    const index = takeInteger(this.random, ORIGINS);
+    this.origins[index] ??= new OriginAdmission();
+    return this.origins[index];
+  }
+
   private call(
     allowance: RetryAllowance,
     tree: Tree,
