--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -4,7 +4,6 @@
 import type {InvariantReporter} from 'sycamoreyoke/invariants';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
-import {QUIET_DECAY_MS} from 'sycamoreyoke/process/downstreamThrottle';
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
@@ -51,6 +50,7 @@
 import {PeerTask} from './process/peerTask.js';
 import {StoreFollower} from './process/storeFollower.js';
 import {UpstreamTask} from './process/upstreamTask.js';
+import {BeginCheck} from './request/beginCheck.js';
 import {OriginHandler} from './request/originHandler.js';
 import type {
   ConfigurationDecoder,
@@ -198,7 +198,6 @@
     parameters: {
       ...GOODPUT_PARAMETERS,
       queueLimit: GATE_QUEUE_LIMIT,
-      downstreamDecayMs: QUIET_DECAY_MS,
     },
     report,
     record,
@@ -347,6 +346,7 @@
     budgets.set(service, budget);
     return budget;
   };
+  const beginCheck = new BeginCheck({clock, record, metrics});
   const origin = new OriginHandler({
     clock,
     random,
@@ -358,6 +358,7 @@
     metrics,
     readTable: () => configuration.read()?.table,
     readRetryBudget,
+    beginCheck,
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
     readStopSchedule: () => lifecycle.stop,
   });
@@ -375,6 +376,8 @@
   metrics.watch('gate_running', () => upstream.describeLoad().running);
   metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
   metrics.watch('gate_limit', () => upstream.describeLoad().limit);
+  metrics.watch('gate_kinds_throttled', () => upstream.countThrottled());
+  metrics.watch('routes_throttled', () => beginCheck.countThrottled());
   metrics.watch('links_open', () => peers.countOpen());
   metrics.watch('configuration_version', () => configuration.readVersion());
   metrics.watch('log_lines_dropped', () => log.countDropped());
