Decide route, key, stop and announced length on the head

Cause: the whole body of a request was read before its route was known, so a client without a key could make the process hold it.

Change: the handler checks the head, reads the body, and checks key and stop again when the request starts, as both may have changed meanwhile. Until then the parent of a call is only looked up. The connection is kept after the refusal of a small body that has arrived with its head.

--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -73,12 +73,16 @@
 }
 
 /** The request for which the upstream makes a call. */
-export interface ParentCall {
+export interface ParentRequest {
   readonly requestId: string;
   readonly importance: Importance;
   readonly account: string | undefined;
   /** Whether the deadlines match; if not, it may be a client's request. */
   readonly isConfirmed: boolean;
+}
+
+/** The same, while the call counts as open. */
+export interface ParentCall extends ParentRequest {
   /** Records that the call was answered. */
   finish(): void;
 }
@@ -131,21 +135,29 @@
   }
 
   /** Finds the running request for which the upstream makes a call, if any. */
-  startChildCall(callDeadlineMs: number): ParentCall | undefined {
-    const {callParents, clock} = this.parts;
-    const isConfirmed = callParents.hasDeadline(callDeadlineMs);
-    const ticket = callParents.startCall(callDeadlineMs);
+  findParent(callDeadlineMs: number): ParentRequest | undefined {
+    const {callParents} = this.parts;
+    const ticket = callParents.findParent(callDeadlineMs);
     const parent = ticket === undefined ? undefined : this.calls.get(ticket);
     if (!parent) return undefined;
     return {
       requestId: parent.call.requestId,
       importance: parent.call.importance,
       account: parent.call.account,
-      isConfirmed,
-      finish: () => callParents.finishCall(parent.ticket, clock.readMs()),
+      isConfirmed: callParents.hasDeadline(callDeadlineMs),
     };
   }
 
+  /** The same, and counts the call as open until it is finished. */
+  startChildCall(callDeadlineMs: number): ParentCall | undefined {
+    const {callParents, clock} = this.parts;
+    const parent = this.findParent(callDeadlineMs);
+    const ticket = callParents.startCall(callDeadlineMs);
+    if (!parent || ticket === undefined) return undefined;
+    const finish = () => callParents.finishCall(ticket, clock.readMs());
+    return {...parent, finish};
+  }
+
   countCalls(): number {
     return this.calls.size;
   }
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -1,5 +1,4 @@
 /** Handles the requests that arrive at the outbound address. */
-import type {IncomingMessage} from 'node:http';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
@@ -7,7 +6,6 @@
 import {RequestTimes} from 'sycamoreyoke/process/requestTimes';
 import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import type {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
-import {Importance} from 'sycamoreyoke/types';
 import type {Account} from 'sycamoreyoke/version/accounts';
 import {CredentialCheck, checkCredentials} from 'sycamoreyoke/version/accounts';
 import type {Route, RouteTable} from 'sycamoreyoke/version/routeTable';
@@ -15,22 +13,19 @@
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {Random} from 'sycamoreyoke/random';
 import {DEFAULT_TIMEOUT_MS, STOP_RETRY_MS} from '../constants.js';
+import {runAfterNextRead} from '../process/eventLoop.js';
 import type {PeerTask} from '../process/peerTask.js';
-import type {ParentCall} from '../process/upstreamTask.js';
-import type {
-  CallResult,
-  ClientHead,
-  HeaderList,
-  WireProtocol,
-} from '../types.js';
+import type {ParentCall, ParentRequest} from '../process/upstreamTask.js';
+import type {CallResult, ClientHead, WireProtocol} from '../types.js';
 import {GateReason} from '../types.js';
 import type {Answer, RoutedRequest} from './originCall.js';
-import {ByteList} from '../connection/byteList.js';
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
 import {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
+import {hasBody, readAnnouncedBytes, readBody} from './requestBody.js';
+import {chooseImportance, computeUsefulUntil} from './routeChoice.js';
 
 /** Dependencies of the handler. */
 export interface OriginHandlerParts {
@@ -45,6 +40,8 @@
   readonly readTable: () => RouteTable | undefined;
   readonly readRetryBudget: (service: string) => RetryAllowance;
   /** Finds the running request for which the upstream makes a call, if any. */
+  readonly findParent: (deadlineMs: number) => ParentRequest | undefined;
+  /** The same, and counts the call as open until it is finished. */
   readonly startChildCall: (deadlineMs: number) => ParentCall | undefined;
   /** Returns the schedule of the stop once the node is stopping. */
   readonly readStopSchedule: () => StopSchedule | undefined;
@@ -67,12 +64,21 @@
 /** Shortest retry delay advised to clients. */
 const MIN_RETRY_MS = 100;
 const EMPTY_BODY = new Uint8Array(0);
-/** Importance of requests by the rank of their route; other ranks have LOW. */
-const IMPORTANCE_BY_RANK = [
-  Importance.CRITICAL,
-  Importance.HIGH,
-  Importance.NORMAL,
-] as const;
+/** Limit of what is read of a refused request to keep its connection. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+
+/** A request that passed the checks of its head; its body may be missing. */
+interface AcceptedHead {
+  readonly requestId: string;
+  readonly client: ClientHead;
+  readonly method: string;
+  readonly path: string;
+  readonly route: Route;
+  readonly service: string;
+  readonly deadlineMs: number;
+  readonly maxBodyBytes: number;
+  readonly version: number;
+}
 
 /** Reads, routes and answers the requests at the outbound address. */
 export class OriginHandler {
@@ -92,19 +98,22 @@
     return this.handled;
   }
 
+  /** Routes a request by its head, and starts it once it has its body. */
   handle(exchange: ClientExchange): void {
-    const {request, arrivedMs} = exchange;
     this.handled += 1;
     this.openRequests.set(exchange, undefined);
     exchange.handleClose(() => this.openRequests.delete(exchange));
+    const head = this.acceptHead(exchange);
+    if (!head) return;
+    const {request} = exchange;
     if (!hasBody(request.rawHeaders)) {
-      this.route(exchange, EMPTY_BODY, arrivedMs);
+      this.startRequest(exchange, head, EMPTY_BODY);
       return;
     }
-    const table = this.parts.readTable();
-    readBody(request, table?.limits.maxBodyBytes ?? Infinity, (body) => {
-      if (body) this.route(exchange, body, arrivedMs);
-      else this.refuseEarly(exchange, Status.TOO_LARGE, 'body is too large');
+    readBody(request, head.maxBodyBytes, (body) => {
+      if (exchange.state !== ExchangeState.RUNNING) return;
+      if (body) this.startRequest(exchange, head, body);
+      else this.refuseTooLarge(exchange);
     });
   }
 
@@ -117,65 +126,81 @@
     }
   }
 
-  private route(
-    exchange: ClientExchange,
-    body: Uint8Array,
-    arrivedMs: number,
-  ): void {
-    if (exchange.state !== ExchangeState.RUNNING) return;
-    const {request} = exchange;
+  /** Decides by the head alone, before a byte of the body is read. */
+  private acceptHead(exchange: ClientExchange): AcceptedHead | undefined {
+    const {request, arrivedMs} = exchange;
+    const {rawHeaders} = request;
     const table = this.parts.readTable();
     if (!table) {
       const message = 'no configuration has arrived yet';
       this.refuseEarly(exchange, Status.UNAVAILABLE, message, START_RETRY_MS);
-      return;
+      return undefined;
     }
-    const head = this.parts.wire.readClientHead(request.rawHeaders);
-    const host = getHeader(request.rawHeaders, 'host');
-    if (head.requestId === undefined || host === undefined) {
+    const client = this.parts.wire.readClientHead(rawHeaders);
+    const host = getHeader(rawHeaders, 'host');
+    if (client.requestId === undefined || host === undefined) {
       this.refuseEarly(exchange, Status.BAD_REQUEST, 'no request id or host');
-      return;
+      return undefined;
     }
     const path = request.url ?? '/';
     const route = findRoute(table, host, path);
     const service =
       route && this.parts.rotation.choose(route.name, route.targets);
     if (!route || service === undefined) {
-      this.recordUnrouted(head.requestId, {host, path}, table.version);
+      this.recordUnrouted(client.requestId, {host, path}, table.version);
       this.refuse(exchange, Status.NOT_FOUND, 'no route matches');
-      return;
+      return undefined;
     }
-    const stop = this.parts.readStopSchedule();
-    const leftMs = head.leftMs ?? DEFAULT_TIMEOUT_MS;
-    const parent = this.findParent(exchange, head.key, arrivedMs + leftMs);
-    const {check, account} = checkCredentials(table.accounts, {
-      key: head.key,
-      isPublicRoute: route.isPublic,
-      isUpstreamCall: parent?.isConfirmed ?? false,
-    });
-    if (check === CredentialCheck.UNKNOWN) {
-      this.refuseUnauthenticated(exchange, head, route, table.version);
-      return;
-    }
-    const routeDeadlineMs = arrivedMs + Math.min(leftMs, route.timeoutMs);
-    const isAccepted =
-      !stop ||
-      this.isAcceptedDuringStop(stop, parent, routeDeadlineMs, route.name);
-    if (!isAccepted) {
-      this.refuseStopping(exchange);
-      return;
+    if (client.key !== undefined) exchange.markClient();
+    const leftMs = client.leftMs ?? DEFAULT_TIMEOUT_MS;
+    const head: AcceptedHead = {
+      requestId: client.requestId,
+      client,
+      method: request.method ?? 'GET',
+      path,
+      route,
+      service,
+      deadlineMs: arrivedMs + Math.min(leftMs, route.timeoutMs),
+      maxBodyBytes: table.limits.maxBodyBytes,
+      version: table.version,
+    };
+    // A call whose body is missing is not open yet, so only look its parent up.
+    const parent = exchange.isClient()
+      ? undefined
+      : this.parts.findParent(arrivedMs + leftMs);
+    if (!this.checkRequest(exchange, head, parent)) return undefined;
+    if ((readAnnouncedBytes(rawHeaders) ?? 0) > head.maxBodyBytes) {
+      this.refuseTooLarge(exchange);
+      return undefined;
     }
+    return head;
+  }
+
+  /** Starts a request that is complete. */
+  private startRequest(
+    exchange: ClientExchange,
+    head: AcceptedHead,
+    body: Uint8Array,
+  ): void {
+    const {arrivedMs} = exchange;
+    const {client, route} = head;
+    const leftMs = client.leftMs ?? DEFAULT_TIMEOUT_MS;
+    const parent = this.startChildCall(exchange, arrivedMs + leftMs);
+    // Keys and the node's state may have changed while the body arrived.
+    const check = this.checkRequest(exchange, head, parent);
+    if (!check) return;
+    const stop = this.parts.readStopSchedule();
     const deadlineMs =
-      parent && stop ? stop.clampDeadline(routeDeadlineMs) : routeDeadlineMs;
-    const importance = chooseImportance(route, account, parent);
+      parent && stop ? stop.clampDeadline(head.deadlineMs) : head.deadlineMs;
+    const importance = chooseImportance(route, check.account, parent);
     this.start(exchange, {
       requestId: head.requestId,
       route,
-      service,
+      service: head.service,
       importance,
-      method: request.method ?? 'GET',
-      path,
-      headers: head.headers,
+      method: head.method,
+      path: head.path,
+      headers: client.headers,
       body,
       arrivedMs,
       deadlineMs,
@@ -185,22 +210,50 @@
         arrivedMs,
         deadlineMs,
       ),
-      configurationVersion: table.version,
+      configurationVersion: head.version,
       parentId: parent?.requestId,
-      account: account?.name ?? parent?.account,
+      account: check.account?.name ?? parent?.account,
     });
   }
 
+  /** Checks the key and the stop of the node; refuses what does not pass. */
+  private checkRequest(
+    exchange: ClientExchange,
+    head: AcceptedHead,
+    parent: ParentRequest | undefined,
+  ): {account: Account | undefined} | undefined {
+    const {client, route, deadlineMs, version} = head;
+    const {check, account} = checkCredentials(
+      this.parts.readTable()?.accounts,
+      {
+        key: client.key,
+        isPublicRoute: route.isPublic,
+        isUpstreamCall: parent?.isConfirmed ?? false,
+      },
+    );
+    if (check === CredentialCheck.UNKNOWN) {
+      this.refuseUnauthenticated(exchange, client, route, version);
+      return undefined;
+    }
+    const stop = this.parts.readStopSchedule();
+    if (
+      stop &&
+      !this.isAcceptedDuringStop(stop, parent, deadlineMs, route.name)
+    ) {
+      this.refuseStopping(exchange);
+      return undefined;
+    }
+    return {account};
+  }
+
   /**
-   * Finds the request for which the upstream makes a call. A call has no key,
-   * and a connection with requests that have one belongs to a client.
+   * Records a call of the upstream as open until it is answered. A call has no
+   * key, and a connection with requests that have one belongs to a client.
    */
-  private findParent(
+  private startChildCall(
     exchange: ClientExchange,
-    key: string | undefined,
     deadlineMs: number,
   ): ParentCall | undefined {
-    if (key !== undefined) exchange.markClient();
     if (exchange.isClient()) return undefined;
     const parent = this.parts.startChildCall(deadlineMs);
     if (parent) exchange.handleClose(() => parent.finish());
@@ -229,7 +282,7 @@
    */
   private isAcceptedDuringStop(
     stop: StopSchedule,
-    parent: ParentCall | undefined,
+    parent: ParentRequest | undefined,
     deadlineMs: number,
     route: string,
   ): boolean {
@@ -311,9 +364,23 @@
       const spreadMs = retryMs * (1 + RETRY_JITTER * this.parts.random());
       headers.push('Retry-After', (spreadMs / 1000).toFixed(3));
     }
-    const {complete, rawHeaders} = exchange.request;
-    const endsConnection = hasBody(rawHeaders) && !complete;
-    exchange.answer({status, headers, body, endsConnection});
+    const {request} = exchange;
+    const endsConnection = hasBody(request.rawHeaders) && !request.complete;
+    const answer = {status, headers, body, endsConnection};
+    if (!endsConnection) {
+      exchange.answer(answer);
+      return;
+    }
+    // What follows is discarded. A small body has mostly arrived with its head;
+    // once it has been read, the connection can be kept.
+    request.resume();
+    const announcedBytes = readAnnouncedBytes(request.rawHeaders) ?? Infinity;
+    if (announcedBytes > MAX_DISCARDED_BYTES) exchange.answer(answer);
+    else runAfterNextRead(() => exchange.answer(answer));
+  }
+
+  private refuseTooLarge(exchange: ClientExchange): void {
+    this.refuseEarly(exchange, Status.TOO_LARGE, 'body is too large');
   }
 
   private refuseStopping(exchange: ClientExchange): void {
@@ -349,59 +416,3 @@
     );
   }
 }
-
-/**
- * The priority of the account takes precedence over the route's. A call is at
- * least as important as the request for which it is made.
- */
-function chooseImportance(
-  route: Route,
-  account: Account | undefined,
-  parent: ParentCall | undefined,
-): Importance {
-  const rank = account?.rank ?? route.rank;
-  const routeImportance = IMPORTANCE_BY_RANK[rank] ?? Importance.LOW;
-  return Math.max(routeImportance, parent?.importance ?? routeImportance);
-}
-
-/**
- * Returns until when a start of the request is useful. A request that waits
- * past its target latency has lost most of its use and delays others that could
- * be in time. Critical requests wait until their deadline.
- */
-function computeUsefulUntil(
-  route: Route,
-  importance: Importance,
-  arrivedMs: number,
-  deadlineMs: number,
-): number {
-  if (importance === Importance.CRITICAL) return deadlineMs;
-  return Math.min(deadlineMs, arrivedMs + route.targetLatencyMs);
-}
-
-/** Whether the headers of a request announce a body. */
-function hasBody(headers: HeaderList): boolean {
-  return (
-    getHeader(headers, 'content-length') !== undefined ||
-    getHeader(headers, 'transfer-encoding') !== undefined
-  );
-}
-
-/** Reads a whole body; calls back with undefined if it is too large. */
-function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-  handle: (body: Uint8Array | undefined) => void,
-): void {
-  let bytes: ByteList | undefined = new ByteList();
-  request.on('data', (chunk: Buffer) => {
-    bytes?.add(chunk);
-    if (!bytes || bytes.readLength() <= maxBytes) return;
-    bytes = undefined;
-    handle(undefined);
-  });
-  request.on('end', () => {
-    if (bytes) handle(bytes.join());
-  });
-  request.on('error', () => request.destroy());
-}
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -352,6 +352,7 @@
     metrics,
     readTable: () => configuration.read()?.table,
     readRetryBudget,
+    findParent: (deadlineMs) => upstream.findParent(deadlineMs),
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
     readStopSchedule: () => lifecycle.stop,
   });
--- a/packages/sycamoreyoke/src/process/callParents.test.ts
+++ b/packages/sycamoreyoke/src/process/callParents.test.ts
@@ -33,6 +33,14 @@
   expect(parents.startCall(700)).to.equal(undefined);
 });
 
+// Guards against a call that counts as open while its body is still missing.
+it('call parents: looking a parent up changes nothing', () => {
+  const parents = createParents();
+  expect(parents.findParent(700)).to.equal('c');
+  expect(parents.findParent(700)).to.equal('c');
+  expect(parents.startCall(700)).to.equal('c');
+});
+
 // Guards against choosing a parent whose deadline is before that of the call.
 it('call parents: a call never has more time than its parent', () => {
   const parents = createParents();
--- a/packages/sycamoreyoke/src/process/callParents.ts
+++ b/packages/sycamoreyoke/src/process/callParents.ts
@@ -78,11 +78,14 @@
     return this.findByDeadline(callDeadlineMs) !== undefined;
   }
 
+  /** Returns the ticket of the parent of a call, if one is found. */
+  findParent(callDeadlineMs: number): string | undefined {
+    return this.findState(callDeadlineMs)?.parent.ticket;
+  }
+
   /** Records a call and returns the ticket of its parent, if one is found. */
   startCall(callDeadlineMs: number): string | undefined {
-    const state =
-      this.findByDeadline(callDeadlineMs) ??
-      this.findLatestIdle(callDeadlineMs);
+    const state = this.findState(callDeadlineMs);
     if (!state) return undefined;
     state.openCalls += 1;
     return state.parent.ticket;
@@ -104,6 +107,12 @@
     this.idleEntries = this.idleEntries.filter(isIdle);
   }
 
+  private findState(callDeadlineMs: number): ParentState | undefined {
+    return (
+      this.findByDeadline(callDeadlineMs) ?? this.findLatestIdle(callDeadlineMs)
+    );
+  }
+
   private findByDeadline(callDeadlineMs: number): ParentState | undefined {
     let best: ParentState | undefined;
     let smallestDifferenceMs = DEADLINE_TOLERANCE_MS;
