Bound the bodies and frames that a process holds in one budget

Cause: bodies of any number of requests were read at once, frames beyond their budget closed the link with the calls of others, calls that wait or run at a gate counted nowhere, and a body was copied when it was joined, encoded and framed.

Change: HeldBytes admits the bytes of bodies before they are read and pauses or refuses them (503, 408 at the deadline). A frame that does not fit is discarded while it arrives; a call is refused as not run, a result is lost, and the link stays. The bytes of a call count until its result. Bodies stay in pieces from the client to the socket.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -8,6 +8,7 @@
   CLOSING_REFUSAL_MS,
   CLOSING_SILENCE_MS,
   LATE_READ_MS,
+  NO_MEMBER_RETRY_MS,
 } from '../constants.js';
 import type {
   CallResult,
@@ -21,7 +22,7 @@
 import {GateReason} from '../types.js';
 import type {ConfigurationPeer} from '../process/configurationTask.js';
 import {runAfterNextRead} from '../process/eventLoop.js';
-import type {ByteBudget} from './byteBudget.js';
+import type {HeldBytes} from '../process/heldBytes.js';
 import type {Frame} from './frame.js';
 import {FrameReader} from './frameReader.js';
 import {
@@ -65,8 +66,8 @@
   /** Lists what a node has to know that has just been linked. */
   readonly listNotices: (node: string) => readonly LeavingNotice[];
   readonly handleNotice: (notice: LeavingNotice) => void;
-  /** Limits the bytes of incomplete frames of all links together. */
-  readonly frameBudget: ByteBudget<FrameReader>;
+  /** The budget for frames and for the calls that wait or run. */
+  readonly held: Pick<HeldBytes, 'hold'>;
 }
 
 /** Sends a frame over a link. */
@@ -102,11 +103,18 @@
     this.session = sessions.openAnonymous(this);
     socket.setTimeout(ACCEPTED_SILENCE_MS, () => socket.destroy());
     const reader = new FrameReader({
-      handle: (frame) => this.receive(frame),
-      budget: this.parts.frameBudget,
-      handleExcess: (message) => {
-        this.parts.handleFault(message);
-        socket.destroy();
+      handle: (frame, release) => {
+        if (frame.kind === FrameKind.CALL) {
+          this.receiveCall(frame, release);
+          return;
+        }
+        this.receive(frame);
+        release();
+      },
+      held: this.parts.held,
+      handleSkipped: ({kind, id}) => {
+        if (kind === FrameKind.CALL) this.refuseSkipped(id);
+        else this.parts.handleFault(`no memory for a frame of kind ${kind}`);
       },
     });
     socket.on('data', (chunk) => {
@@ -245,9 +253,6 @@
         this.sendReport();
         this.parts.handlePeerVersion(frame.report.configurationVersion, this);
         return;
-      case FrameKind.CALL:
-        this.receiveCall(frame);
-        return;
       case FrameKind.CANCEL:
         this.session.cancel(frame.id);
         return;
@@ -295,11 +300,14 @@
   }
 
   /** Counts the time that a call has waited on its way as used. */
-  private receiveCall({id, call, sentMs, acknowledgedIds}: CallFrame): void {
+  private receiveCall(
+    {id, call, sentMs, acknowledgedIds}: CallFrame,
+    release: () => void,
+  ): void {
     this.session.removeAcknowledged(acknowledgedIds ?? []);
     const lateMs = this.measureDelay(sentMs);
     if (lateMs <= LATE_READ_MS) {
-      this.start(id, call);
+      this.start(id, call, release);
       return;
     }
     const leftMs = call.leftMs - lateMs;
@@ -308,11 +316,12 @@
     this.session.add(id, {
       cancel: () => {
         isCancelled = true;
+        release();
       },
       isWaiting: () => true,
     });
     runAfterNextRead(() => {
-      if (!isCancelled) this.start(id, {...call, leftMs, usefulMs});
+      if (!isCancelled) this.start(id, {...call, leftMs, usefulMs}, release);
     });
   }
 
@@ -325,18 +334,38 @@
     return Math.max(behindMs, this.transitDelay.observe(sentMs, nowMs));
   }
 
-  private start(id: number, call: OutgoingCall): void {
+  private start(id: number, call: OutgoingCall, release: () => void): void {
     const {session} = this;
     if (this.phase !== LinkPhase.OPEN) {
+      release();
       session.settle(id, createClosingRefusal());
       return;
     }
     let isSettled = false;
     const pending = this.parts.offer(call, (result) => {
       isSettled = true;
+      release();
       session.settle(id, result);
     });
-    if (!isSettled) session.add(id, pending);
+    if (isSettled) return;
+    const isWaiting = () => pending.isWaiting?.() ?? false;
+    session.add(id, {
+      cancel: () => {
+        // A call that waits has no result when it is cancelled.
+        if (isWaiting()) release();
+        pending.cancel();
+      },
+      isWaiting,
+    });
+  }
+
+  /** Refuses a call whose body was not kept; it has not run. */
+  private refuseSkipped(id: number): void {
+    const reason = GateReason.MEMORY_FULL;
+    this.session.settle(
+      id,
+      createFailure(SendEnd.REFUSED_BY_GATE, reason, NO_MEMBER_RETRY_MS),
+    );
   }
 
   handleCallEnd(): void {
--- a/packages/sidecar/src/connection/byteList.ts
+++ b/packages/sidecar/src/connection/byteList.ts
@@ -9,7 +9,7 @@
  * small the pieces are.
  */
 export class ByteList {
-  private readonly pieces: Buffer[] = [];
+  private pieces: Buffer[] = [];
   private tail: Buffer | undefined;
   private tailLength = 0;
   private total = 0;
@@ -35,6 +35,20 @@
     return this.total;
   }
 
+  /** Returns the bytes as they are, without joining them. */
+  listPieces(): readonly Buffer[] {
+    this.closeTail();
+    return this.pieces;
+  }
+
+  /** Drops all bytes; a list that was returned before keeps them. */
+  clear(): void {
+    this.pieces = [];
+    this.tail = undefined;
+    this.tailLength = 0;
+    this.total = 0;
+  }
+
   /** Returns all bytes in one buffer. */
   join(): Buffer {
     this.closeTail();
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -12,8 +12,8 @@
   OutgoingCall,
   ResultHandler,
 } from '../types.js';
-import {ByteBudget} from './byteBudget.js';
 import type {Frame} from './frame.js';
+import {HeldBytes} from '../process/heldBytes.js';
 import {FrameReader} from './frameReader.js';
 import type {LinkEvents} from './linkEvents.js';
 import {PeerLink} from './peerLink.js';
@@ -69,13 +69,17 @@
 }
 
 /** Creates an unlimited budget. */
-export function createFrameBudget(): ByteBudget<FrameReader> {
-  return new ByteBudget(Infinity);
+export function createHeldBytes(): HeldBytes {
+  const limits = {maxBytes: Infinity, largeBytes: Infinity};
+  return new HeldBytes(systemClock, limits);
 }
 
 export function createFrameReader(handle: (frame: Frame) => void): FrameReader {
-  const budget = createFrameBudget();
-  return new FrameReader({handle, budget, handleExcess: () => undefined});
+  return new FrameReader({
+    handle,
+    held: createHeldBytes(),
+    handleSkipped: () => undefined,
+  });
 }
 
 export function createNode(node: string, address: Address): NodeRecord {
@@ -151,7 +155,7 @@
     readConfiguration: () => undefined,
     listNodes: () => [],
     handleFault: (message) => faults.push(message),
-    frameBudget: createFrameBudget(),
+    held: createHeldBytes(),
   });
   await server.listen(address.host, address.port);
   return {server, address, received, faults};
@@ -178,7 +182,7 @@
     handleClosing: (_link, calls) => closings.push(calls),
   };
   const node = createNode('peer', address);
-  const link = new PeerLink(node, systemClock, events, createFrameBudget());
+  const link = new PeerLink(node, systemClock, events, createHeldBytes());
   const timer = setInterval(() => link.tick(), TICK_MS);
   const stop = () => {
     clearInterval(timer);
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -17,6 +17,9 @@
 import {isAddress} from '../types.js';
 import type {Frame} from './frame.js';
 import {FrameKind} from './frame.js';
+import {countBytes} from './bodyBytes.js';
+import type {LargeBody} from './frameParts.js';
+import {buildBody, encodeParts} from './frameParts.js';
 import {
   FrameError,
   readAmount,
@@ -42,16 +45,29 @@
 
 /** Encodes a frame with its length prefix. */
 export function encodeFrame(frame: Frame): Buffer {
-  const content = packr.pack(buildFields(frame));
-  const message = Buffer.allocUnsafe(LENGTH_BYTES + content.length);
-  message.writeUInt32BE(content.length, 0);
-  content.copy(message, LENGTH_BYTES);
-  return message;
+  return Buffer.concat(encodeFrameParts(frame));
+}
+
+/** Encodes a frame as buffers that follow one another. */
+function encodeFrameParts(frame: Frame): readonly Uint8Array[] {
+  const parts = encodeParts(packr, buildFields(frame));
+  const prefix = Buffer.allocUnsafe(LENGTH_BYTES);
+  prefix.writeUInt32BE(countBytes(parts), 0);
+  return [prefix, ...parts];
 }
 
 /** Writes a frame unless the socket is closed. */
 export function sendFrame(socket: Socket, frame: Frame): void {
-  if (socket.writable) socket.write(encodeFrame(frame));
+  if (!socket.writable) return;
+  const parts = encodeFrameParts(frame);
+  // The length and the content of a small frame are written at once.
+  if (parts.length <= 2) {
+    socket.write(Buffer.concat(parts));
+    return;
+  }
+  socket.cork();
+  for (const part of parts) socket.write(part);
+  socket.uncork();
 }
 
 /**
@@ -80,7 +96,7 @@
   method: string,
   path: string,
   headers: HeaderList,
-  body: Uint8Array,
+  body: Uint8Array | LargeBody,
   leftMs: number,
   usefulMs: number,
   importance: Importance,
@@ -95,7 +111,7 @@
   retryAfterMs: number,
   status: number,
   headers: HeaderList,
-  body: Uint8Array,
+  body: Uint8Array | LargeBody,
 ];
 
 type CrashFields = readonly [
@@ -346,7 +362,7 @@
     call.method,
     call.path,
     call.headers,
-    call.body,
+    buildBody(call.body),
     Math.round(call.leftMs),
     Math.round(call.usefulMs),
     call.importance,
@@ -379,7 +395,7 @@
 
 function buildResult(result: CallResult): ResultFields {
   const {end, reason, retryAfterMs, status, headers, body} = result;
-  return [end, reason ?? null, retryAfterMs, status, headers, body];
+  return [end, reason ?? null, retryAfterMs, status, headers, buildBody(body)];
 }
 
 function readResult(value: unknown): CallResult {
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
+import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   AVOID_MS,
   CLOSING_SILENCE_MS,
@@ -19,19 +20,22 @@
   REPLACE_MS,
 } from '../constants.js';
 import type {
+  CallResult,
   NodeRecord,
   NodeReport,
   OutgoingCall,
   PendingCall,
   ResultHandler,
 } from '../types.js';
+import {GateReason} from '../types.js';
 import {runAfterNextRead} from '../process/eventLoop.js';
+import type {HeldBytes} from '../process/heldBytes.js';
 import {
   createClosingRefusal,
+  createFailure,
   createLoss,
   createNonArrival,
 } from './callFailure.js';
-import type {ByteBudget} from './byteBudget.js';
 import {PendingCalls} from './pendingCalls.js';
 import type {Frame} from './frame.js';
 import type {LinkEvents} from './linkEvents.js';
@@ -78,8 +82,8 @@
     readonly node: NodeRecord,
     private readonly clock: Clock,
     private readonly events: LinkEvents,
-    /** Limits the bytes of incomplete frames of all links together. */
-    private readonly frameBudget: ByteBudget<FrameReader>,
+    /** The budget for the frames of all links. */
+    private readonly held: Pick<HeldBytes, 'hold'>,
   ) {
     this.lostMs = clock.readMs();
     this.dial();
@@ -180,14 +184,15 @@
     const socket = connect(this.node.address);
     socket.setNoDelay(true);
     const reader = new FrameReader({
-      handle: (frame) => {
+      handle: (frame, release) => {
         if (this.socket === socket) this.receive(socket, frame);
         else if (frame.kind === FrameKind.HELLO) this.checkReplacement(socket);
+        release();
       },
-      budget: this.frameBudget,
-      handleExcess: (message) => {
-        if (this.socket === socket) this.disconnect(message);
-        else socket.destroy();
+      held: this.held,
+      handleSkipped: ({kind, id}) => {
+        if (kind !== FrameKind.RESULT || this.socket !== socket) return;
+        this.settle(id, createFailure(SendEnd.LOST, GateReason.MEMORY_FULL));
       },
     });
     socket.on('connect', () => this.sendHello(socket, session));
@@ -324,13 +329,10 @@
         this.events.handleHello(this, frame.node);
         this.events.handleUp(this);
         return;
-      case FrameKind.RESULT: {
+      case FrameKind.RESULT:
         this.updateReport(frame.report);
-        this.unacknowledgedIds.push(frame.id);
-        this.pendingCalls.settle(frame.id, frame.result);
-        this.stopIfDone();
+        this.settle(frame.id, frame.result);
         return;
-      }
       case FrameKind.REPORT:
         this.updateReport(frame.report);
         return;
@@ -345,6 +347,12 @@
     }
   }
 
+  private settle(id: number, result: CallResult): void {
+    this.unacknowledgedIds.push(id);
+    this.pendingCalls.settle(id, result);
+    this.stopIfDone();
+  }
+
   /**
    * Asks the same process what became of the calls of a lost connection. In
    * another epoch it does not know whether they have arrived.
--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -10,6 +10,8 @@
 import {GateReason} from '../types.js';
 import type {ByteBudget, ExchangeBytes, ExchangeLimits} from './byteBudget.js';
 import {findExceededLimit} from './byteBudget.js';
+import type {BodyBytes} from './bodyBytes.js';
+import {countBytes, listPieces} from './bodyBytes.js';
 import {ByteList} from './byteList.js';
 import {getHeader} from './headerList.js';
 import type {ResponseHead} from './responseParser.js';
@@ -24,7 +26,7 @@
    * it is no longer wanted.
    */
   readonly buildHeaders: () => HeaderList | undefined;
-  readonly body: Uint8Array;
+  readonly body: BodyBytes;
   /** Decides to which request a response belongs; others are discarded. */
   readonly findOwner: (
     status: number,
@@ -218,7 +220,9 @@
     }
     this.socket.cork();
     this.socket.write(renderHead(request, headers), 'latin1');
-    if (request.body.length > 0) this.socket.write(request.body);
+    for (const piece of listPieces(request.body)) {
+      if (piece.length > 0) this.socket.write(piece);
+    }
     this.socket.uncork();
     // The first write is attempted synchronously; if it fails, nothing was
     // sent.
@@ -376,8 +380,9 @@
   for (let index = 0; index < headers.length; index += 2) {
     head += `${headers[index]}: ${headers[index + 1]}\r\n`;
   }
-  if (body.length > 0 || !isBodyless(method)) {
-    head += `Content-Length: ${body.length}\r\n`;
+  const length = countBytes(body);
+  if (length > 0 || !isBodyless(method)) {
+    head += `Content-Length: ${length}\r\n`;
   }
   return `${head}\r\n`;
 }
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -6,7 +6,7 @@
   HOST,
   REPORT,
   createCall,
-  createFrameBudget,
+  createHeldBytes,
   createFrameReader,
   createNode,
   openRawServer,
@@ -69,7 +69,7 @@
     handleSuspects: () => undefined,
     listNotices: () => [],
     handleNotice: () => undefined,
-    frameBudget: createFrameBudget(),
+    held: createHeldBytes(),
   });
 }
 
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -8,8 +8,6 @@
   UpstreamLoad,
 } from 'sycamoreyoke/process/placement';
 import {choosePlacement} from 'sycamoreyoke/process/placement';
-import type {ByteBudget} from '../connection/byteBudget.js';
-import type {FrameReader} from '../connection/frameReader.js';
 import {FrameKind} from '../connection/frame.js';
 import type {LinkEvents} from '../connection/linkEvents.js';
 import {PeerLink} from '../connection/peerLink.js';
@@ -34,6 +32,7 @@
 } from '../types.js';
 
 import type {ConfigurationPeer} from './configurationTask.js';
+import type {HeldBytes} from './heldBytes.js';
 
 /** Dependencies of the task. */
 export interface PeerTaskParts {
@@ -65,8 +64,8 @@
   readonly needsNodes: () => boolean;
   /** Called when bytes of a node are read. */
   readonly handleActivity: () => void;
-  /** Limits the bytes of incomplete frames of all links together. */
-  readonly frameBudget: ByteBudget<FrameReader>;
+  /** The budget for the frames of all links. */
+  readonly held: Pick<HeldBytes, 'hold'>;
 }
 
 /** The node chosen for a call. */
@@ -122,8 +121,8 @@
       else this.closeLink(name, link);
     }
     for (const [name, node] of nodesToDial) {
-      const {clock, frameBudget} = this.parts;
-      const link = new PeerLink(node, clock, this.events, frameBudget);
+      const {clock, held} = this.parts;
+      const link = new PeerLink(node, clock, this.events, held);
       this.links.set(name, link);
     }
     this.linksByService = collectByService(
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -13,6 +13,8 @@
 import type {Importance} from 'sycamoreyoke/types';
 import type {Route} from 'sycamoreyoke/version/routeTable';
 import {Repeatability} from 'sycamoreyoke/version/routeTable';
+import type {BodyBytes} from '../connection/bodyBytes.js';
+import {countBytes} from '../connection/bodyBytes.js';
 import {createFailure} from '../connection/callFailure.js';
 import {ANSWER_MARGIN_MS, NO_MEMBER_RETRY_MS} from '../constants.js';
 import type {ChosenNode, PeerTask} from '../process/peerTask.js';
@@ -29,7 +31,7 @@
   readonly method: string;
   readonly path: string;
   readonly headers: HeaderList;
-  readonly body: Uint8Array;
+  readonly body: BodyBytes;
   readonly arrivedMs: number;
   readonly deadlineMs: number;
   /** Starting the request later is of little use; on the node's clock, ms. */
@@ -156,7 +158,7 @@
     const {service, route, body} = this.request;
     const {peers} = this.parts;
     const hasReachedLimit = this.reachedNodes.size >= route.maxAttempts;
-    return peers.choose(service, route.name, body.length, (node) =>
+    return peers.choose(service, route.name, countBytes(body), (node) =>
       hasReachedLimit
         ? this.reachedNodes.has(node)
         : !this.excludedNodes.has(node),
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -14,17 +14,25 @@
 import type {Random} from 'sycamoreyoke/random';
 import {DEFAULT_TIMEOUT_MS, STOP_RETRY_MS} from '../constants.js';
 import {runAfterNextRead} from '../process/eventLoop.js';
+import type {HeldBytes} from '../process/heldBytes.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {ParentCall, ParentRequest} from '../process/upstreamTask.js';
 import type {CallResult, ClientHead, WireProtocol} from '../types.js';
 import {GateReason} from '../types.js';
 import type {Answer, RoutedRequest} from './originCall.js';
+import type {BodyBytes} from '../connection/bodyBytes.js';
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
 import {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
-import {hasBody, readAnnouncedBytes, readBody} from './requestBody.js';
+import {BODY_REFUSALS, Status, buildRefusal} from './refusal.js';
+import {
+  BodyFault,
+  RequestBody,
+  hasBody,
+  readAnnouncedBytes,
+} from './requestBody.js';
 import {chooseImportance, computeUsefulUntil} from './routeChoice.js';
 
 /** Dependencies of the handler. */
@@ -37,6 +45,8 @@
   readonly service: string;
   readonly record: EventRecorder;
   readonly metrics: Metrics;
+  /** The budget for the bodies of requests. */
+  readonly held: HeldBytes;
   readonly readTable: () => RouteTable | undefined;
   readonly readRetryBudget: (service: string) => RetryAllowance;
   /** Finds the running request for which the upstream makes a call, if any. */
@@ -47,20 +57,8 @@
   readonly readStopSchedule: () => StopSchedule | undefined;
 }
 
-enum Status {
-  BAD_REQUEST = 400,
-  UNAUTHORIZED = 401,
-  NOT_FOUND = 404,
-  TOO_LARGE = 413,
-  BAD_GATEWAY = 502,
-  UNAVAILABLE = 503,
-  GATEWAY_TIMEOUT = 504,
-}
-
 /** Retry delay advised to clients until the first configuration arrives. */
 const START_RETRY_MS = 300;
-/** Jitter of Retry-After, so that refused clients do not return together. */
-const RETRY_JITTER = 0.5;
 /** Shortest retry delay advised to clients. */
 const MIN_RETRY_MS = 100;
 const EMPTY_BODY = new Uint8Array(0);
@@ -110,11 +108,19 @@
       this.startRequest(exchange, head, EMPTY_BODY);
       return;
     }
-    readBody(request, head.maxBodyBytes, (body) => {
-      if (exchange.state !== ExchangeState.RUNNING) return;
-      if (body) this.startRequest(exchange, head, body);
-      else this.refuseTooLarge(exchange);
+    const body = new RequestBody({
+      request,
+      held: this.parts.held,
+      maxBytes: head.maxBodyBytes,
+      leftMs: head.deadlineMs - this.parts.clock.readMs(),
+      handle: (bytes) => {
+        if (exchange.state !== ExchangeState.RUNNING) return;
+        this.startRequest(exchange, head, bytes);
+      },
+      handleFault: (fault) => this.refuseBody(exchange, fault),
     });
+    exchange.handleClose(() => body.close());
+    body.start();
   }
 
   /** Answers all open requests with what is known of them. */
@@ -170,7 +176,7 @@
       : this.parts.findParent(arrivedMs + leftMs);
     if (!this.checkRequest(exchange, head, parent)) return undefined;
     if ((readAnnouncedBytes(rawHeaders) ?? 0) > head.maxBodyBytes) {
-      this.refuseTooLarge(exchange);
+      this.refuseBody(exchange, BodyFault.TOO_LARGE);
       return undefined;
     }
     return head;
@@ -180,7 +186,7 @@
   private startRequest(
     exchange: ClientExchange,
     head: AcceptedHead,
-    body: Uint8Array,
+    body: BodyBytes,
   ): void {
     const {arrivedMs} = exchange;
     const {client, route} = head;
@@ -358,15 +364,13 @@
     message: string,
     retryMs?: number,
   ): void {
-    const body = Buffer.from(`${JSON.stringify({error: message})}\n`);
-    const headers = ['Content-Type', 'application/json'];
-    if (retryMs !== undefined) {
-      const spreadMs = retryMs * (1 + RETRY_JITTER * this.parts.random());
-      headers.push('Retry-After', (spreadMs / 1000).toFixed(3));
-    }
     const {request} = exchange;
     const endsConnection = hasBody(request.rawHeaders) && !request.complete;
-    const answer = {status, headers, body, endsConnection};
+    const {random} = this.parts;
+    const answer = {
+      ...buildRefusal(status, message, retryMs, random),
+      endsConnection,
+    };
     if (!endsConnection) {
       exchange.answer(answer);
       return;
@@ -379,8 +383,10 @@
     else runAfterNextRead(() => exchange.answer(answer));
   }
 
-  private refuseTooLarge(exchange: ClientExchange): void {
-    this.refuseEarly(exchange, Status.TOO_LARGE, 'body is too large');
+  private refuseBody(exchange: ClientExchange, fault: BodyFault): void {
+    if (exchange.state !== ExchangeState.RUNNING) return;
+    const {status, reason, retryMs} = BODY_REFUSALS[fault];
+    this.refuseEarly(exchange, status, reason, retryMs);
   }
 
   private refuseStopping(exchange: ClientExchange): void {
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -1,4 +1,5 @@
 /** Types shared by the sidecar's tasks, and the interfaces of its adapter. */
+import type {BodyBytes} from './connection/bodyBytes.js';
 import {isIP} from 'node:net';
 import type {Importance} from 'sycamoreyoke/types';
 import type {SendEnd} from 'sycamoreyoke/request/resend';
@@ -38,7 +39,7 @@
   readonly method: string;
   readonly path: string;
   readonly headers: HeaderList;
-  readonly body: Uint8Array;
+  readonly body: BodyBytes;
   /** Time until the deadline, as of sending, ms. */
   readonly leftMs: number;
   /** Time, as of sending, within which a start is fully useful, ms. */
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -26,7 +26,6 @@
 import {ByteBudget} from './connection/byteBudget.js';
 import type {ClientExchange} from './connection/clientExchange.js';
 import {ClientListener} from './connection/clientListener.js';
-import type {FrameReader} from './connection/frameReader.js';
 import {PeerServer} from './connection/peerServer.js';
 import type {UpstreamPool} from './connection/upstreamPool.js';
 import {TOKENS, createContainer} from './container.js';
@@ -44,6 +43,7 @@
 import type {DecisionLog} from './process/decisionLog.js';
 import {runAfterTurn} from './process/eventLoop.js';
 import {FleetTask} from './process/fleetTask.js';
+import {HeldBytes} from './process/heldBytes.js';
 import {LeavingTask, isLeavingRow} from './process/leavingTask.js';
 import {LoopWatch} from './process/loopWatch.js';
 import {computeMemoryLimits} from './process/memoryLimits.js';
@@ -226,7 +226,7 @@
     configurationVersion: configuration.readVersion(),
     load: describeOwnLoad(),
   });
-  const frameBudget = new ByteBudget<FrameReader>(memory.frames);
+  const held = new HeldBytes(clock, memory.held);
   const loop = new LoopWatch({
     clock,
     runAfterTurn,
@@ -254,7 +254,7 @@
     handleNotice: (notice) => leavings.handleNotice(notice),
     needsNodes: () => !nodeFollower.hasContact(),
     handleActivity: () => loop.observe(),
-    frameBudget,
+    held,
   });
   const fleet: FleetTask = new FleetTask({
     self,
@@ -284,7 +284,7 @@
     listNodes: () => fleet.list(),
     handleFault: (message) =>
       record(EventCode.MESSAGE_MALFORMED, {source: 'peer', message}),
-    frameBudget,
+    held,
   });
   const configurationFollower: StoreFollower = new StoreFollower({
     clock,
@@ -346,6 +346,7 @@
     random,
     wire,
     peers,
+    held,
     rotation: container.get<WeightedRotation>(TOKENS.rotation),
     service: settings.service,
     record,
@@ -370,6 +371,8 @@
   metrics.watch('gate_running', () => upstream.describeLoad().running);
   metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
   metrics.watch('gate_limit', () => upstream.describeLoad().limit);
+  metrics.watch('held_bytes', () => held.countBytes());
+  metrics.watch('bodies_waiting', () => held.countWaiting());
   metrics.watch('links_open', () => peers.countOpen());
   metrics.watch('configuration_version', () => configuration.readVersion());
   metrics.watch('log_lines_dropped', () => log.countDropped());
--- a/packages/sycamoreyoke/src/request/contentIdentity.ts
+++ b/packages/sycamoreyoke/src/request/contentIdentity.ts
@@ -7,7 +7,8 @@
   readonly method: string;
   /** Path including the query. */
   readonly path: string;
-  readonly body: Uint8Array;
+  /** In one piece or several, which makes no difference. */
+  readonly body: Uint8Array | readonly Uint8Array[];
 }
 
 /** 128 bits make a collision between different requests negligible. */
@@ -16,10 +17,9 @@
 /** Computes a short text that is equal for attempts with equal content. */
 export function identifyContent(content: RequestContent): string {
   const {service, method, path, body} = content;
-  return createHash('sha256')
-    .update(JSON.stringify([service, method, path]))
-    .update(body)
-    .digest()
-    .subarray(0, IDENTITY_BYTES)
-    .toString('base64url');
+  const hash = createHash('sha256');
+  hash.update(JSON.stringify([service, method, path]));
+  for (const piece of body instanceof Uint8Array ? [body] : body)
+    hash.update(piece);
+  return hash.digest().subarray(0, IDENTITY_BYTES).toString('base64url');
 }
