--- a/packages/sidecar/src/request/beginOrRefuse.test.ts
+++ b/packages/sidecar/src/request/beginOrRefuse.test.ts
@@ -13,6 +13,7 @@
   ClientExchange,
 } from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
+import {HeldBytes} from '../process/heldBytes.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {ParentCall} from '../process/upstreamTask.js';
 import type {ResultHandler, WireProtocol} from '../types.js';
@@ -88,6 +89,7 @@
     } as unknown as WireProtocol,
     peers: {choose: () => node} as unknown as PeerTask,
     rotation: new WeightedRotation(),
+    held: new HeldBytes(clock, {maxBytes: 1e6, largeBytes: 1e6}),
     service: 'o',
     record,
     metrics,
@@ -97,6 +99,7 @@
       takeRetry: () => true,
     }),
     beginCheck: new BeginCheck({clock, metrics, record}),
+    findParent: () => parent,
     startChildCall: () => parent,
     readStopSchedule: () => undefined,
   });
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -25,7 +25,6 @@
 import {ByteBudget} from './connection/byteBudget.js';
 import type {ClientExchange} from './connection/clientExchange.js';
 import {ClientListener} from './connection/clientListener.js';
-import type {FrameReader} from './connection/frameReader.js';
 import {PeerServer} from './connection/peerServer.js';
 import type {UpstreamPool} from './connection/upstreamPool.js';
 import {TOKENS, createContainer} from './container.js';
@@ -43,6 +42,7 @@
 import type {DecisionLog} from './process/decisionLog.js';
 import {runAfterTurn} from './process/eventLoop.js';
 import {FleetTask} from './process/fleetTask.js';
+import {HeldBytes} from './process/heldBytes.js';
 import {LeavingTask} from './process/leavingTask.js';
 import {LoopWatch} from './process/loopWatch.js';
 import {computeMemoryLimits} from './process/memoryLimits.js';
@@ -232,7 +232,7 @@
     configurationVersion: configuration.readVersion(),
     load: describeOwnLoad(),
   });
-  const frameBudget = new ByteBudget<FrameReader>(memory.frames);
+  const held = new HeldBytes(clock, memory.held);
   const loop = new LoopWatch({
     clock,
     runAfterTurn,
@@ -261,7 +261,7 @@
     handleNotice: (notice) => leavings.handleNotice(notice),
     needsNodes: () => !nodeFollower.hasContact(),
     handleActivity: () => loop.observe(),
-    frameBudget,
+    held,
   });
   const fleet: FleetTask = new FleetTask({
     self,
@@ -292,7 +292,7 @@
     listNodes: () => fleet.list(),
     handleFault: (message) =>
       record(EventCode.MESSAGE_MALFORMED, {source: 'peer', message}),
-    frameBudget,
+    held,
   });
   const configurationFollower: StoreFollower = new StoreFollower({
     clock,
@@ -352,6 +352,7 @@
     random,
     wire,
     peers,
+    held,
     rotation: container.get<WeightedRotation>(TOKENS.rotation),
     service: settings.service,
     record,
@@ -359,6 +360,7 @@
     readTable: () => configuration.read()?.table,
     readRetryBudget,
     beginCheck,
+    findParent: (deadlineMs) => upstream.findParent(deadlineMs),
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
     readStopSchedule: () => lifecycle.stop,
   });
@@ -378,6 +380,8 @@
   metrics.watch('gate_limit', () => upstream.describeLoad().limit);
   metrics.watch('gate_kinds_throttled', () => upstream.countThrottled());
   metrics.watch('routes_throttled', () => beginCheck.countThrottled());
+  metrics.watch('held_bytes', () => held.countBytes());
+  metrics.watch('bodies_waiting', () => held.countWaiting());
   metrics.watch('links_open', () => peers.countOpen());
   metrics.watch('configuration_version', () => configuration.readVersion());
   metrics.watch('log_lines_dropped', () => log.countDropped());
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -319,6 +319,7 @@
     'The limit of a started or recovered upstream is low until answers prove more.',
     'cause: started or recovered',
     'limit: requests at once',
+  ),
   [EventCode.UPSTREAM_CHECKED]: describe(
     'The upstream was asked for its status, since nobody knew whether it was leaving.',
     'instance',
