Grant scarce retries by importance and work already done

Cause: the allowance of retries was granted in the order of failure, mostly to first calls of requests that then failed at a later call.

Change: RetryOrder ranks a retry by importance, then by the answered calls and the time spent of the request that makes the call. A rank is admitted while the recent demand of the ranks above it leaves a part of the allowance. ParentCall.readWork and CallParents.readProgress give the work done. Metric retries_denied_total. The bounds are unchanged.

--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -8,6 +8,7 @@
 import type {CallParents} from 'sycamoreyoke/process/callParents';
 import type {GateParameters} from 'sycamoreyoke/process/gateParameters';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
+import type {WorkDone} from 'sycamoreyoke/process/retryOrder';
 import type {GateAction} from 'sycamoreyoke/process/types';
 import {Completion, GateActionKind} from 'sycamoreyoke/process/types';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
@@ -79,6 +80,8 @@
   readonly account: string | undefined;
   /** Whether the deadlines match; if not, it may be a client's request. */
   readonly isConfirmed: boolean;
+  /** Returns how near the request is to its end. */
+  readWork(): WorkDone | undefined;
   /** Records that the call was answered. */
   finish(): void;
 }
@@ -142,10 +145,19 @@
       importance: parent.call.importance,
       account: parent.call.account,
       isConfirmed,
+      readWork: () => this.readWork(parent),
       finish: () => callParents.finishCall(parent.ticket, clock.readMs()),
     };
   }
 
+  private readWork({ticket, deadlineMs}: GateCall): WorkDone | undefined {
+    const progress = this.parts.callParents.readProgress(ticket);
+    if (!progress) return undefined;
+    const {startedMs, answeredCalls} = progress;
+    const spentMs = this.parts.clock.readMs() - startedMs;
+    return {answeredCalls, spentShare: spentMs / (deadlineMs - startedMs)};
+  }
+
   /** Counts the kinds of calls that the gate throttles. */
   countThrottled(): number {
     return this.gate.countThrottled();
--- a/packages/sidecar/src/request/beginOrRefuse.test.ts
+++ b/packages/sidecar/src/request/beginOrRefuse.test.ts
@@ -51,6 +51,7 @@
   importance: Importance.CRITICAL,
   account: undefined,
   isConfirmed: true,
+  readWork: () => undefined,
   finish: () => undefined,
 };
 
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -4,6 +4,7 @@
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
 import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
+import type {WorkDone} from 'sycamoreyoke/process/retryOrder';
 import {
   ResendDecision,
   SendEnd,
@@ -37,6 +38,8 @@
   readonly configurationVersion: number;
   /** Id of the request for which the upstream makes this call. */
   readonly parentId: string | undefined;
+  /** Returns the work done for that request. */
+  readonly readParentWork?: (() => WorkDone | undefined) | undefined;
   /** Client account that the request belongs to, if any. */
   readonly account: string | undefined;
 }
@@ -198,7 +201,15 @@
       decision !== ResendDecision.SEND_ON_BUDGET ||
       parts
         .readRetryBudget(request.service)
-        .takeRetry(request.importance, result.end === SendEnd.LOST);
+        .takeRetry(
+          request.importance,
+          result.end === SendEnd.LOST,
+          request.readParentWork?.(),
+        );
+    if (!isPermitted) {
+      const labels = {service: request.service};
+      parts.metrics.count('retries_denied_total', labels);
+    }
     this.apply(
       isPermitted ? decision : decideWhenBudgetExhausted(result.end),
       result,
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -198,6 +198,7 @@
       ),
       configurationVersion: table.version,
       parentId: parent?.requestId,
+      readParentWork: parent && (() => parent.readWork()),
       account: account?.name ?? parent?.account,
     });
   }
--- a/packages/sycamoreyoke/src/process/callParents.test.ts
+++ b/packages/sycamoreyoke/src/process/callParents.test.ts
@@ -116,3 +116,20 @@
     }
   }
 });
+
+// Guards against a request near its end that is taken for a new one, and gets
+// no retry.
+it('call parents: counts the answered calls of a request', () => {
+  const parents = createParents();
+  for (const nowMs of [100, 200]) {
+    expect(parents.startCall(1_998)).to.equal('c');
+    parents.finishCall('c', nowMs);
+  }
+  expect(parents.startCall(1_998)).to.equal('c');
+  expect(parents.readProgress('c')).to.include({
+    startedMs: 20,
+    answeredCalls: 2,
+  });
+  parents.finish('c');
+  expect(parents.readProgress('c')).to.equal(undefined);
+});
--- a/packages/sycamoreyoke/src/process/callParents.ts
+++ b/packages/sycamoreyoke/src/process/callParents.ts
@@ -13,8 +13,16 @@
  */
 const DEADLINE_TOLERANCE_MS = 6;
 
+/** Progress of a running request. */
+export interface ParentProgress {
+  readonly startedMs: number;
+  readonly answeredCalls: number;
+}
+
 interface ParentState {
   readonly parent: RunningParent;
+  readonly startedMs: number;
+  answeredCalls: number;
   /** Start of the request, or end of its latest call. */
   idleSinceMs: number;
   openCalls: number;
@@ -50,6 +58,8 @@
     const {ticket, deadlineMs} = parent;
     const state: ParentState = {
       parent,
+      startedMs: nowMs,
+      answeredCalls: 0,
       idleSinceMs: nowMs,
       openCalls: 0,
       isRunning: true,
@@ -88,11 +98,17 @@
     return state.parent.ticket;
   }
 
+  /** Returns the progress of a running request. */
+  readProgress(ticket: string): ParentProgress | undefined {
+    return this.states.get(ticket);
+  }
+
   /** Records the response to a call made for the request. */
   finishCall(ticket: string, nowMs: number): void {
     const state = this.states.get(ticket);
     if (!state) return;
     state.openCalls -= 1;
+    state.answeredCalls += 1;
     state.idleSinceMs = nowMs;
     if (state.openCalls === 0) this.addIdle(state);
   }
--- a/packages/sycamoreyoke/src/process/retryAllowance.ts
+++ b/packages/sycamoreyoke/src/process/retryAllowance.ts
@@ -2,6 +2,8 @@
 import type {Clock} from '../clock.js';
 import {Importance} from '../types.js';
 import {RetryBudget} from './retryBudget.js';
+import type {WorkDone} from './retryOrder.js';
+import {RetryOrder} from './retryOrder.js';
 
 /** Limit on the retries to a service by all nodes together, per window. */
 export interface FleetRetryBudget {
@@ -17,8 +19,13 @@
   /**
    * Takes a retry from the budget; returns false when it is used up.
    * @param mayHaveRun whether an earlier attempt may have been executed.
+   * @param work what was done for the request that makes the call, if any.
    */
-  takeRetry(importance: Importance, mayHaveRun: boolean): boolean;
+  takeRetry(
+    importance: Importance,
+    mayHaveRun: boolean,
+    work?: WorkDone,
+  ): boolean;
 }
 
 /** Part of the budget that is used; the rest covers windows of falling load. */
@@ -54,17 +61,19 @@
   const total = createBudget(USED_SHARE);
   const mayHaveExecuted = createBudget(MAY_HAVE_RUN_SHARE);
   const belowCritical = createBudget(BELOW_CRITICAL_SHARE);
+  const order = new RetryOrder(clock);
   const budgets = [total, mayHaveExecuted, belowCritical];
   return {
     recordFirstAttempt: () =>
       budgets.forEach((budget) => budget.recordFirstAttempt()),
-    takeRetry: (importance, mayHaveRun) => {
+    takeRetry: (importance, mayHaveRun, work) => {
       const applicable = [
         total,
         ...(mayHaveRun ? [mayHaveExecuted] : []),
         ...(importance === Importance.CRITICAL ? [] : [belowCritical]),
       ];
-      if (!applicable.every((budget) => budget.hasRoom())) return false;
+      const room = Math.min(...applicable.map((budget) => budget.readRoom()));
+      if (!order.admit(importance, work, room) || room < 1) return false;
       applicable.forEach((budget) => budget.takeRetry());
       return true;
     },
--- a/packages/sycamoreyoke/src/process/retryBudget.ts
+++ b/packages/sycamoreyoke/src/process/retryBudget.ts
@@ -47,12 +47,17 @@
 
   /** Returns true if the budget allows one more retry. */
   hasRoom(): boolean {
+    return this.readRoom() >= 1;
+  }
+
+  /** Returns the retries that the budget allows now; may be a fraction. */
+  readRoom(): number {
     this.advance();
     const limit = Math.max(
       this.readMinRetries(),
       this.readShare() * this.firstAttemptSum,
     );
-    return this.retrySum + 1 <= limit;
+    return Math.max(0, limit - this.retrySum);
   }
 
   /** Empties the buckets that have left the window. */
--- a/packages/sycamoreyoke/src/process/treeLoad.test.ts
+++ b/packages/sycamoreyoke/src/process/treeLoad.test.ts
@@ -20,7 +20,7 @@
 const GATES = 6;
 const ORIGINS = 24;
 const NODES = 62;
-const BOUNDS = {share: 0.2, slack: 94};
+export const BOUNDS = {share: 0.2, slack: 94};
 
 /** A kind of request; its rate is that of one gate. */
 export interface TreeKind {
@@ -89,7 +89,7 @@
   /** Whether origins refuse requests whose calls will probably fail. */
   readonly refusesAtOrigin?: boolean;
   readonly kinds?: readonly TreeKind[];
-  readonly takeRetry?: (allowance: RetryAllowance, tree: Tree) => boolean;
+  readonly createAllowance?: typeof createRetryAllowance;
 }
 
 /** Result of a run. */
@@ -147,7 +147,8 @@
       },
       report: () => undefined,
     });
-    const allowance = createRetryAllowance(this.clock, BOUNDS, () => NODES);
+    const {createAllowance = createRetryAllowance} = this.policy;
+    const allowance = createAllowance(this.clock, BOUNDS, () => NODES);
     for (const kind of this.policy.kinds ?? KINDS) {
       const intervalMs = 1_000 / kind.perSecond;
       let dueMs = this.random() * intervalMs;
@@ -214,7 +215,7 @@
     finish: (completion: Completion) => void,
   ): void {
     const nowMs = this.clock.readMs();
-    const {deep, takeRetry = takeByImportance} = this.policy;
+    const {deep} = this.policy;
     this.callsMs.push(nowMs);
     if (attempt === 1) allowance.recordFirstAttempt();
     if (deep.rejects(nowMs, this.running, this.random)) {
@@ -247,8 +248,10 @@
   }
 }
 
-function takeByImportance(allowance: RetryAllowance, {kind}: Tree): boolean {
-  return allowance.takeRetry(kind.importance, false);
+function takeRetry(allowance: RetryAllowance, tree: Tree): boolean {
+  const {kind, answeredCalls} = tree;
+  const work = {answeredCalls, spentShare: 0};
+  return allowance.takeRetry(kind.importance, false, work);
 }
 
 /** Runs the load on a virtual clock. */
