Spread the return of refused clients by importance

Cause: all clients that a gate refused at the same time were told the same delay and came back together. A client that repeated at once and often got the few requests that an origin begins during a fault.

Change: ReturnSchedule assigns each refused client its own time, at the pace of the capacity and in the order of importance, at the gate and for requests that an origin does not begin. The origin remembers by request ID when it told a client to return; an earlier repeat uses no probe.

--- a/packages/sidecar/src/request/beginCheck.ts
+++ b/packages/sidecar/src/request/beginCheck.ts
@@ -1,9 +1,15 @@
 /** Checks whether a client's request is begun, and records what became of it. */
 import type {Clock} from 'sycamoreyoke/clock';
-import type {EventRecorder} from 'sycamoreyoke/process/events';
+import type {EventDetails, EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
 import {OriginAdmission} from 'sycamoreyoke/process/originAdmission';
+import {
+  PromisedReturns,
+  ReturnSchedule,
+} from 'sycamoreyoke/process/returnSchedule';
+import type {Importance} from 'sycamoreyoke/types';
+import type {Route} from 'sycamoreyoke/version/routeTable';
 import type {RoutedRequest} from './originCall.js';
 
 /** Dependencies of the check. */
@@ -14,37 +20,76 @@
 }
 
 /** The part of a request that the check needs. */
-export type CheckedRequest = Pick<
-  RoutedRequest,
-  'requestId' | 'route' | 'importance'
->;
+export interface CheckedRequest {
+  readonly requestId: string;
+  readonly route: Route;
+  readonly importance: Importance;
+  /** Time left to the client, ms. */
+  readonly leftMs: number;
+}
 
+/** Shortest retry delay of a request that is not begun, ms. */
+const MIN_RETURN_MS = 250;
 /**
- * Retry delay advised to clients of a route whose requests fail further down;
- * such faults last for seconds.
+ * Part of the time left up to which a retry delay is advised. Clients honour a
+ * third; the handler adds up to a half to each delay.
  */
-const UNBEGUN_RETRY_MS = 1_000;
+const MAX_RETURN_PART = 0.22;
 const INTERNAL_ERROR = 500;
 
 /** Applies the admission of the library at the origin. */
 export class BeginCheck {
   private readonly admission = new OriginAdmission();
+  private readonly returns = new ReturnSchedule();
+  private readonly promises = new PromisedReturns();
 
   constructor(private readonly parts: BeginCheckParts) {}
 
   /** Returns the retry delay, ms, of a request that is not begun. */
-  check({requestId, route, importance}: CheckedRequest): number | undefined {
-    const {clock, metrics, record} = this.parts;
-    const nowMs = clock.readMs();
+  check(request: CheckedRequest): number | undefined {
+    const {requestId, route, importance} = request;
+    const nowMs = this.parts.clock.readMs();
     const {name} = route;
-    if (this.admission.admit({route: name, importance}, nowMs)) {
-      return undefined;
-    }
     const share = this.admission.readShare(name, nowMs);
-    metrics.count('requests_not_begun_total', {route: name});
-    const details = {route: name, importance, share};
-    record(EventCode.REQUEST_NOT_BEGUN, details, requestId);
-    return UNBEGUN_RETRY_MS;
+    const earlyMs =
+      share < 1 ? this.promises.computeLeftMs(requestId, nowMs) : 0;
+    const isAdmitted =
+      earlyMs === 0 && this.admission.admit({route: name, importance}, nowMs);
+    if (isAdmitted) return undefined;
+    const retryMs = earlyMs || this.reserveReturn(request, nowMs);
+    this.recordRefusal(request, {
+      share,
+      isEarly: earlyMs > 0,
+      retryMs: Math.round(retryMs),
+    });
+    return retryMs;
+  }
+
+  private reserveReturn(
+    {requestId, route, importance, leftMs}: CheckedRequest,
+    nowMs: number,
+  ): number {
+    const period = {
+      firstMs: MIN_RETURN_MS,
+      maxMs: leftMs * MAX_RETURN_PART,
+      msPerReturn: this.admission.computeMsPerBegin(route.name),
+    };
+    const retryMs = this.returns.reserve(importance, period, nowMs);
+    this.promises.add(requestId, nowMs + retryMs);
+    return retryMs;
+  }
+
+  private recordRefusal(
+    {requestId, route, importance}: CheckedRequest,
+    details: EventDetails,
+  ): void {
+    const {name} = route;
+    this.parts.metrics.count('requests_not_begun_total', {route: name});
+    this.parts.record(
+      EventCode.REQUEST_NOT_BEGUN,
+      {route: name, importance, ...details},
+      requestId,
+    );
   }
 
   /** Records the status with which an upstream answered. */
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -173,7 +173,7 @@
     const {requestId} = head;
     const retryMs = parent?.isConfirmed
       ? undefined
-      : this.parts.beginCheck.check({requestId, route, importance});
+      : this.parts.beginCheck.check({requestId, route, importance, leftMs});
     if (retryMs !== undefined) {
       const message = 'calls of the request would fail';
       this.refuse(exchange, Status.UNAVAILABLE, message, retryMs);
--- a/packages/sycamoreyoke/src/process/downstreamThrottle.ts
+++ b/packages/sycamoreyoke/src/process/downstreamThrottle.ts
@@ -56,6 +56,9 @@
   credit: number;
   nextProbeMs: number;
   lastResultMs: number;
+  lastAdmittedMs: number;
+  /** Mean time between two admitted requests, ms. */
+  admittedGapMs: number;
   /** Mean time of successful requests, ms; 0 without samples. */
   latencyMs: number;
   /** Mean time until a result, ms. */
@@ -166,6 +169,9 @@
     round.offered += 1;
     if (!this.isAdmitted(state, nowMs, maxShare)) return false;
     round.admitted += 1;
+    const gapMs = nowMs - state.lastAdmittedMs;
+    state.admittedGapMs = computeAverage(state.admittedGapMs, gapMs);
+    state.lastAdmittedMs = nowMs;
     return true;
   }
 
@@ -190,6 +196,11 @@
     return state && this.isRecent(state, nowMs) ? state.share : 1;
   }
 
+  /** Returns the recent time between two admitted requests of the kind, ms. */
+  computeMsPerAdmitted(kind: string): number {
+    return this.kinds.get(kind)?.admittedGapMs ?? 0;
+  }
+
   /** Whether the latest result of the kind was a success. */
   isSucceeding(kind: string): boolean {
     return (this.kinds.get(kind)?.round.series ?? 0) > 0;
@@ -311,6 +322,8 @@
       credit: 0,
       nextProbeMs: nowMs,
       lastResultMs: nowMs,
+      lastAdmittedMs: nowMs,
+      admittedGapMs: known?.admittedGapMs ?? 0,
       latencyMs: known?.latencyMs ?? 0,
       resultMs: known?.resultMs ?? 0,
       failingShare: undefined,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -133,6 +133,8 @@
     'route',
     'importance',
     'share: admitted share of the route',
+    'isEarly: whether the client returned before the time that it was told',
+    'retryMs: advised delay, ms',
   ),
   [EventCode.CALL_ROUTED]: describe(
     'The egress sent a call to a member.',
--- a/packages/sycamoreyoke/src/process/gate.test.ts
+++ b/packages/sycamoreyoke/src/process/gate.test.ts
@@ -278,3 +278,26 @@
   expect(advice.length).to.be.above(100);
   expect(Math.min(...advice)).to.be.at.least(1_000);
 });
+
+// Guards against refused clients that all return at the same time, and so are
+// refused again.
+it('gate: refused clients return one after the other', () => {
+  const clock = new VirtualClock();
+  const gate = createGate(1, clock, {queueLimit: 0});
+  const offer = (ticket: string, importance: Importance) =>
+    gate.offer({ticket, importance, deadline: clock.readMs() + 10_000})[0];
+  offer('first', Importance.HIGH);
+  clock.advance(100);
+  gate.finish('first', Completion.SUCCEEDED);
+  offer('running', Importance.HIGH);
+  const listDelays = (importance: Importance) =>
+    [1, 2, 3].map((count) => {
+      const action = offer(`${importance}-${count}`, importance);
+      return action?.kind === GateActionKind.REFUSE ? action.retryAfterMs : 0;
+    });
+  const normal = listDelays(Importance.NORMAL);
+  const [first = 0] = normal;
+  expect(normal).to.eql([first, first + 100, first + 200]);
+  expect(listDelays(Importance.HIGH)).to.eql(normal);
+  expect(listDelays(Importance.LOW)[0]).to.be.above(first + 200);
+});
--- a/packages/sycamoreyoke/src/process/gate.ts
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -8,6 +8,7 @@
 import {DownstreamThrottle, GATE_THROTTLE} from './downstreamThrottle.js';
 import type {GateParameters} from './gateParameters.js';
 import type {ConcurrencyLimiter} from './limiter.js';
+import {ReturnSchedule} from './returnSchedule.js';
 import {ServiceTimes} from './serviceTimes.js';
 import type {AdmissionLevel, Arrival, Gate, GateAction} from './types.js';
 import {Completion, GateActionKind} from './types.js';
@@ -25,6 +26,8 @@
 /** Bounds of the retry delay that a refusal recommends to its client. */
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 2_000;
+/** Time over which refused clients return when no service time is known. */
+const UNKNOWN_RETURN_MS = 1;
 
 /**
  * Recommended retry delay for a throttled request kind. Overload downstream
@@ -59,6 +62,7 @@
   private readonly running = new Map<string, RunningRequest>();
   private readonly serviceTimes = new ServiceTimes();
   private readonly estimate = new AdmissionEstimate();
+  private readonly returns = new ReturnSchedule();
   /** Counted independently of the queues, for the invariant checks. */
   private readonly waitingByImportance = IMPORTANCES.map(() => 0);
   private throttle: DownstreamThrottle;
@@ -343,23 +347,31 @@
   private createRefusal(
     arrival: Arrival,
     reason: RefusalReason,
-    retryAfterMs = this.computeRetryAfterMs(),
+    firstMs = this.computeDrainMs(),
   ): GateAction {
     this.checkRefusal(arrival, reason);
     return {
       kind: GateActionKind.REFUSE,
       ticket: arrival.ticket,
       reason,
-      retryAfterMs,
+      retryAfterMs: this.computeRetryAfterMs(arrival, firstMs),
     };
   }
 
-  /** Time until the current queue has drained, within bounds. */
-  private computeRetryAfterMs(): number {
-    const drainMs = this.waiting.size * this.computeDrainMsPerRequest();
-    return Math.round(
-      Math.min(Math.max(drainMs, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS),
-    );
+  /** Returns the delay after which there is room for the client. */
+  private computeRetryAfterMs({importance}: Arrival, firstMs: number): number {
+    const period = {
+      firstMs: Math.max(firstMs, MIN_RETRY_AFTER_MS),
+      maxMs: MAX_RETRY_AFTER_MS,
+      msPerReturn: this.computeDrainMsPerRequest() || UNKNOWN_RETURN_MS,
+    };
+    const nowMs = this.parts.clock.readMs();
+    return Math.round(this.returns.reserve(importance, period, nowMs));
+  }
+
+  /** Time until the current queue has drained. */
+  private computeDrainMs(): number {
+    return this.waiting.size * this.computeDrainMsPerRequest();
   }
 
   private computeDrainMsPerRequest(): number {
--- a/packages/sycamoreyoke/src/process/originAdmission.ts
+++ b/packages/sycamoreyoke/src/process/originAdmission.ts
@@ -87,6 +87,14 @@
     return this.throttle.readShare(route, nowMs);
   }
 
+  /**
+   * Returns the time in which one more request of the route can be begun, ms,
+   * at the recent pace.
+   */
+  computeMsPerBegin(route: string): number {
+    return this.throttle.computeMsPerAdmitted(route);
+  }
+
   /** Lists the routes that are throttled now. */
   listThrottled(nowMs: number): readonly ThrottledKind[] {
     return this.throttle.listThrottled(nowMs);
