--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -8,6 +8,7 @@
 import type {CallParents} from 'sycamoreyoke/process/callParents';
 import type {GateParameters} from 'sycamoreyoke/process/gateParameters';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
+import type {WorkDone} from 'sycamoreyoke/process/retryOrder';
 import type {GateAction} from 'sycamoreyoke/process/types';
 import {Completion, GateActionKind} from 'sycamoreyoke/process/types';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
@@ -79,6 +80,8 @@
   readonly account: string | undefined;
   /** Whether the deadlines match; if not, it may be a client's request. */
   readonly isConfirmed: boolean;
+  /** Returns how near the request is to its end. */
+  readWork(): WorkDone | undefined;
 }
 
 /** The same, while the call counts as open. */
@@ -150,9 +153,18 @@
       importance: parent.call.importance,
       account: parent.call.account,
       isConfirmed: callParents.hasDeadline(callDeadlineMs),
+      readWork: () => this.readWork(parent),
     };
   }
 
+  private readWork({ticket, deadlineMs}: GateCall): WorkDone | undefined {
+    const progress = this.parts.callParents.readProgress(ticket);
+    if (!progress) return undefined;
+    const {startedMs, answeredCalls} = progress;
+    const spentMs = this.parts.clock.readMs() - startedMs;
+    return {answeredCalls, spentShare: spentMs / (deadlineMs - startedMs)};
+  }
+
   /** Counts the kinds of calls that the gate throttles. */
   countThrottled(): number {
     return this.gate.countThrottled();
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -191,11 +191,12 @@
   /** Refuses a client's request whose calls would probably fail. */
   private checkBegin(
     exchange: ClientExchange,
-    {requestId, route}: AcceptedHead,
+    {requestId, route, client}: AcceptedHead,
     account: Account | undefined,
   ): boolean {
     const importance = chooseImportance(route, account, undefined);
-    const request = {requestId, route, importance};
+    const leftMs = client.leftMs ?? DEFAULT_TIMEOUT_MS;
+    const request = {requestId, route, importance, leftMs};
     const retryMs = this.parts.beginCheck.check(request);
     if (retryMs === undefined) return true;
     const message = 'calls of the request would fail';
@@ -239,6 +240,7 @@
       ),
       configurationVersion: head.version,
       parentId: parent?.requestId,
+      readParentWork: parent && (() => parent.readWork()),
       account: check.account?.name ?? parent?.account,
     });
   }
