Bound client connections, and keep links alive while a large frame arrives

Cause: connections of clients were accepted without a bound. A ping behind a frame of 64 MiB was not answered in time, so the origin replaced the link in the middle of the frame and the call was lost. Buffers of bodies that were dropped stayed until the next garbage collection.

A node reports every 50 ms while it reads a large frame. Bodies are copied into segments, which are used again if the body is dropped before it was sent.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -9,6 +9,7 @@
   CLOSING_SILENCE_MS,
   LATE_READ_MS,
   NO_MEMBER_RETRY_MS,
+  PROGRESS_REPORT_MS,
 } from '../constants.js';
 import type {
   CallResult,
@@ -88,6 +89,7 @@
 export class AcceptedLink implements SessionLink {
   private phase = LinkPhase.OPEN;
   private peerRevision = 0;
+  private reportedMs = -Infinity;
   /** Whether the peer belongs to the same service. */
   private isSameService = false;
   private session: LinkSession;
@@ -123,6 +125,7 @@
       if (this.phase === LinkPhase.ENDED) return;
       try {
         reader.add(chunk);
+        if (reader.isInFrame()) this.reportProgress();
       } catch (error) {
         this.parts.handleFault(`bad frame: ${(error as Error).message}`);
         socket.destroy();
@@ -148,6 +151,7 @@
 
   /** Sends this node's current report to the peer. */
   sendReport(): void {
+    this.reportedMs = this.parts.clock.readMs();
     this.send({kind: FrameKind.REPORT, report: this.describeReport()});
   }
 
@@ -199,6 +203,16 @@
     this.socket.destroy();
   }
 
+  /**
+   * Reports while a large frame arrives, behind which a ping of the peer waits.
+   * Without it the peer replaces the link in the middle of the frame.
+   */
+  private reportProgress(): void {
+    const nowMs = this.parts.clock.readMs();
+    if (nowMs - this.reportedMs < PROGRESS_REPORT_MS) return;
+    if (this.phase === LinkPhase.OPEN) this.sendReport();
+  }
+
   private send(frame: Frame): void {
     sendFrame(this.socket, frame);
   }
--- a/packages/sidecar/src/connection/callFailure.ts
+++ b/packages/sidecar/src/connection/callFailure.ts
@@ -29,6 +29,11 @@
   return createFailure(SendEnd.LOST, GateReason.LINK_LOST);
 }
 
+/** Creates the result of a call whose response was not kept. */
+export function createMemoryLoss(): CallResult {
+  return createFailure(SendEnd.LOST, GateReason.MEMORY_FULL);
+}
+
 /** Creates the result of a call that has not reached the gate and will not. */
 export function createNonArrival(): CallResult {
   return createFailure(SendEnd.REFUSED_BY_GATE, GateReason.LINK_LOST);
--- a/packages/sidecar/src/connection/clientConnection.ts
+++ b/packages/sidecar/src/connection/clientConnection.ts
@@ -105,6 +105,11 @@
     return mayBeOlder ? this.connectedMs : readMs;
   }
 
+  /** Whether a request has arrived on the connection. */
+  hasAccepted(): boolean {
+    return this.accepted > 0;
+  }
+
   countOpen(): number {
     return this.activeExchanges.length + this.queued.length;
   }
--- a/packages/sidecar/src/connection/clientListener.test.ts
+++ b/packages/sidecar/src/connection/clientListener.test.ts
@@ -21,7 +21,7 @@
   lateMs: number;
 }
 
-async function openHarness(): Promise<Harness> {
+async function openHarness(maxConnections = Infinity): Promise<Harness> {
   const exchanges: ClientExchange[] = [];
   const cuts: boolean[] = [];
   const parts = {
@@ -31,6 +31,7 @@
     findEarliestArrivalMs: () => performance.now() - harness.lateMs,
     isStopping: () => harness.isStopping,
     output: new ByteBudget<ClientExchange>(Infinity),
+    maxConnections,
   };
   const listener = new ClientListener(parts, (exchange) => {
     exchanges.push(exchange);
@@ -280,3 +281,22 @@
   expect(performance.now() - arrivedMs).to.be.at.least(500);
   closeHarness(harness);
 });
+
+// Guards against clients that use up all descriptors, and against a bound that
+// closes a connection on which an answer is due.
+it('listener at its limit closes a connection without a request', async () => {
+  const harness = await openHarness(2);
+  harness.client.write(REQUEST);
+  await waitUntil(() => harness.exchanges.length === 1);
+  const {remotePort = 0} = harness.client;
+  const others = Array.from({length: 5}, () => connect(remotePort, HOST));
+  for (const other of others) other.on('error', () => other.destroy());
+  await waitUntil(
+    () =>
+      others.filter(({destroyed}) => destroyed).length === others.length - 1,
+  );
+  expect(harness.listener.countConnections()).to.equal(2);
+  expect(harness.client.destroyed).to.equal(false);
+  for (const other of others) other.destroy();
+  closeHarness(harness);
+});
--- a/packages/sidecar/src/connection/clientListener.ts
+++ b/packages/sidecar/src/connection/clientListener.ts
@@ -16,6 +16,12 @@
 } from './clientConnection.js';
 import {ClientConnection} from './clientConnection.js';
 
+/** Dependencies of the listener. */
+export interface ClientListenerParts extends ClientConnectionParts {
+  /** Limit of open connections. */
+  readonly maxConnections: number;
+}
+
 /** An HTTP server that does not close idle connections itself. */
 class ClientServer extends Server {
   /**
@@ -33,7 +39,7 @@
   private readonly connections = new Map<Socket, ClientConnection>();
 
   constructor(
-    private readonly parts: ClientConnectionParts,
+    private readonly parts: ClientListenerParts,
     private readonly handle: ExchangeHandler,
   ) {
     // With it, the library would answer without the connection's knowledge.
@@ -99,6 +105,13 @@
   }
 
   private add(socket: Socket): void {
+    if (this.connections.size >= this.parts.maxConnections) {
+      const unused = this.findUnused();
+      this.parts.metrics.count('client_connections_dropped_total');
+      (unused ?? socket).destroy();
+      if (!unused) return;
+      this.connections.delete(unused);
+    }
     this.connections.set(
       socket,
       new ClientConnection(socket, this.parts, this.handle),
@@ -106,6 +119,19 @@
     socket.once('close', () => this.connections.delete(socket));
   }
 
+  /**
+   * Finds the connection to close for a new one: the oldest that has brought no
+   * request, or else the oldest that has none open.
+   */
+  private findUnused(): Socket | undefined {
+    let oldestIdle: Socket | undefined;
+    for (const [socket, connection] of this.connections) {
+      if (!connection.hasAccepted()) return socket;
+      if (connection.countOpen() === 0) oldestIdle ??= socket;
+    }
+    return oldestIdle;
+  }
+
   private accept(request: IncomingMessage, response: ServerResponse): void {
     this.connections.get(request.socket)?.accept(request, response);
   }
--- a/packages/sidecar/src/connection/frameReader.ts
+++ b/packages/sidecar/src/connection/frameReader.ts
@@ -50,6 +50,11 @@
     }
   }
 
+  /** Whether the bytes read last belong to a frame that is not complete. */
+  isInFrame(): boolean {
+    return this.frame !== undefined;
+  }
+
   /** Discards the bytes of an incomplete frame and ignores further ones. */
   close(): void {
     this.isClosed = true;
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -3,7 +3,6 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
-import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   AVOID_MS,
   CLOSING_SILENCE_MS,
@@ -27,13 +26,12 @@
   PendingCall,
   ResultHandler,
 } from '../types.js';
-import {GateReason} from '../types.js';
 import {runAfterNextRead} from '../process/eventLoop.js';
 import type {HeldBytes} from '../process/heldBytes.js';
 import {
   createClosingRefusal,
-  createFailure,
   createLoss,
+  createMemoryLoss,
   createNonArrival,
 } from './callFailure.js';
 import {PendingCalls} from './pendingCalls.js';
@@ -191,8 +189,8 @@
       },
       held: this.held,
       handleSkipped: ({kind, id}) => {
-        if (kind !== FrameKind.RESULT || this.socket !== socket) return;
-        this.settle(id, createFailure(SendEnd.LOST, GateReason.MEMORY_FULL));
+        const isResult = kind === FrameKind.RESULT && this.socket === socket;
+        if (isResult) this.settle(id, createMemoryLoss());
       },
     });
     socket.on('connect', () => this.sendHello(socket, session));
@@ -207,8 +205,7 @@
         this.handleEnd(socket, `invalid frame: ${(error as Error).message}`);
       }
     });
-    // Destroy the socket: otherwise it closes only after its pending frames are
-    // sent, which the node may no longer read.
+    // Otherwise it closes only after its pending frames are sent.
     socket.on('end', () => {
       socket.destroy();
       this.handleEnd(socket, 'node ended the link');
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -38,6 +38,8 @@
  * pings, so it is gone or partitioned, and dials again if it can.
  */
 export const ACCEPTED_SILENCE_MS = 8_000;
+/** Interval of the reports that a node sends while it reads a large frame. */
+export const PROGRESS_REPORT_MS = 50;
 /** First delay before a lost link is dialled again; doubles each time. */
 export const REDIAL_MIN_MS = 100;
 /** Longest delay before a lost link is dialled again. */
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -24,6 +24,7 @@
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
+import type {SegmentPool} from '../connection/segmentList.js';
 import {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
 import {BODY_REFUSALS, Status, buildRefusal} from './refusal.js';
@@ -47,6 +48,7 @@
   readonly metrics: Metrics;
   /** The budget for the bodies of requests. */
   readonly held: HeldBytes;
+  readonly pool: SegmentPool;
   readonly readTable: () => RouteTable | undefined;
   readonly readRetryBudget: (service: string) => RetryAllowance;
   /** Finds the running request for which the upstream makes a call, if any. */
@@ -111,6 +113,7 @@
     const body = new RequestBody({
       request,
       held: this.parts.held,
+      pool: this.parts.pool,
       maxBytes: head.maxBodyBytes,
       leftMs: head.deadlineMs - this.parts.clock.readMs(),
       handle: (bytes) => {
@@ -153,7 +156,8 @@
     const service =
       route && this.parts.rotation.choose(route.name, route.targets);
     if (!route || service === undefined) {
-      this.recordUnrouted(client.requestId, {host, path}, table.version);
+      const {version} = table;
+      this.recordUnrouted(client.requestId, {host, path, version});
       this.refuse(exchange, Status.NOT_FOUND, 'no route matches');
       return undefined;
     }
@@ -411,14 +415,9 @@
 
   private recordUnrouted(
     requestId: string,
-    {host, path}: {host: string; path: string},
-    version: number,
+    details: {host: string; path: string; version: number},
   ): void {
     this.parts.metrics.count('requests_unrouted_total');
-    this.parts.record(
-      EventCode.REQUEST_UNROUTED,
-      {host, path, version},
-      requestId,
-    );
+    this.parts.record(EventCode.REQUEST_UNROUTED, details, requestId);
   }
 }
--- a/packages/sidecar/src/request/requestBody.ts
+++ b/packages/sidecar/src/request/requestBody.ts
@@ -3,6 +3,8 @@
 import type {BodyBytes} from '../connection/bodyBytes.js';
 import {ByteList} from '../connection/byteList.js';
 import {getHeader} from '../connection/headerList.js';
+import type {SegmentPool} from '../connection/segmentList.js';
+import {SegmentList} from '../connection/segmentList.js';
 import type {HeldBody, HeldBytes} from '../process/heldBytes.js';
 import type {HeaderList} from '../types.js';
 
@@ -33,6 +35,7 @@
 export interface RequestBodyParts {
   readonly request: IncomingMessage;
   readonly held: HeldBytes;
+  readonly pool: SegmentPool;
   readonly maxBytes: number;
   /** Time until the request's deadline, ms. */
   readonly leftMs: number;
@@ -40,14 +43,20 @@
   readonly handleFault: (fault: BodyFault) => void;
 }
 
+/** First part of a body, which is kept in buffers of its size. */
+const SMALL_PART_BYTES = 64 * 1024;
+
 /** Reads one body; one of its handlers is called once, unless it is closed. */
 export class RequestBody implements HeldBody {
   private readonly bytes = new ByteList();
+  private readonly segments: SegmentList;
+  private received = 0;
   private readonly timer: NodeJS.Timeout;
   private isStarted = false;
   private isEnded = false;
 
   constructor(private readonly parts: RequestBodyParts) {
+    this.segments = new SegmentList(parts.pool);
     const leftMs = Math.max(0, parts.leftMs);
     this.timer = setTimeout(() => this.endWith(BodyFault.LATE), leftMs);
   }
@@ -82,13 +91,16 @@
 
   private readonly add = (chunk: Buffer): void => {
     const {request, held, maxBytes} = this.parts;
-    this.bytes.add(chunk);
-    if (this.bytes.readLength() > maxBytes) this.endWith(BodyFault.TOO_LARGE);
+    const isSmall = this.received + chunk.length <= SMALL_PART_BYTES;
+    this.received += chunk.length;
+    if (isSmall) this.bytes.add(chunk);
+    else this.segments.add(chunk);
+    if (this.received > maxBytes) this.endWith(BodyFault.TOO_LARGE);
     else if (!held.advance(this, chunk.length)) request.pause();
   };
 
   private readonly finish = (): void => {
-    const pieces = this.bytes.listPieces();
+    const pieces = [...this.bytes.listPieces(), ...this.segments.take()];
     this.end();
     this.parts.held.finish(this);
     this.parts.handle(pieces);
@@ -104,6 +116,7 @@
     this.isEnded = true;
     clearTimeout(this.timer);
     this.bytes.clear();
+    this.segments.clear();
     this.parts.request.off('data', this.add);
     this.parts.request.off('end', this.finish);
   }
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -233,6 +233,8 @@
   readonly peerPort: number;
   /** Memory that the process may use, MB. */
   readonly memoryMb: number;
+  /** Descriptors that the process may have open. */
+  readonly maxFds: number;
   readonly metricsPort: number | undefined;
   readonly outbound: Address;
   readonly ready: Address;
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -27,6 +27,7 @@
 import type {ClientExchange} from './connection/clientExchange.js';
 import {ClientListener} from './connection/clientListener.js';
 import {PeerServer} from './connection/peerServer.js';
+import {SegmentPool} from './connection/segmentList.js';
 import type {UpstreamPool} from './connection/upstreamPool.js';
 import {TOKENS, createContainer} from './container.js';
 import {
@@ -42,6 +43,7 @@
 import {CrashTask, isCrashRow} from './process/crashTask.js';
 import type {DecisionLog} from './process/decisionLog.js';
 import {runAfterTurn} from './process/eventLoop.js';
+import {computeMaxClients} from './process/descriptorLimits.js';
 import {FleetTask} from './process/fleetTask.js';
 import {HeldBytes} from './process/heldBytes.js';
 import {LeavingTask, isLeavingRow} from './process/leavingTask.js';
@@ -227,10 +229,7 @@
     load: describeOwnLoad(),
   });
   const held = new HeldBytes(clock, memory.held);
-  const loop = new LoopWatch({
-    clock,
-    runAfterTurn,
-  });
+  const loop = new LoopWatch({clock, runAfterTurn});
   const peers: PeerTask = new PeerTask({
     self,
     clock,
@@ -347,6 +346,7 @@
     wire,
     peers,
     held,
+    pool: new SegmentPool(memory.held.maxBytes / 2),
     rotation: container.get<WeightedRotation>(TOKENS.rotation),
     service: settings.service,
     record,
@@ -365,12 +365,14 @@
       findEarliestArrivalMs: () => loop.findEarliestArrivalMs(),
       isStopping: () => lifecycle.stop !== undefined,
       output: new ByteBudget<ClientExchange>(memory.clientOutput),
+      maxConnections: computeMaxClients(settings.maxFds),
     },
     (exchange) => origin.handle(exchange),
   );
   metrics.watch('gate_running', () => upstream.describeLoad().running);
   metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
   metrics.watch('gate_limit', () => upstream.describeLoad().limit);
+  metrics.watch('client_connections', () => clients.countConnections());
   metrics.watch('held_bytes', () => held.countBytes());
   metrics.watch('bodies_waiting', () => held.countWaiting());
   metrics.watch('links_open', () => peers.countOpen());
