--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -25,6 +25,7 @@
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
+import type {SegmentPool} from '../connection/segmentList.js';
 import {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
 import {BODY_REFUSALS, Status, buildRefusal} from './refusal.js';
@@ -48,6 +49,7 @@
   readonly metrics: Metrics;
   /** The budget for the bodies of requests. */
   readonly held: HeldBytes;
+  readonly pool: SegmentPool;
   readonly readTable: () => RouteTable | undefined;
   readonly readRetryBudget: (service: string) => RetryAllowance;
   readonly beginCheck: BeginCheck;
@@ -113,6 +115,7 @@
     const body = new RequestBody({
       request,
       held: this.parts.held,
+      pool: this.parts.pool,
       maxBytes: head.maxBodyBytes,
       leftMs: head.deadlineMs - this.parts.clock.readMs(),
       handle: (bytes) => {
@@ -155,7 +158,8 @@
     const service =
       route && this.parts.rotation.choose(route.name, route.targets);
     if (!route || service === undefined) {
-      this.recordUnrouted(client.requestId, {host, path}, table.version);
+      const {version} = table;
+      this.recordUnrouted(client.requestId, {host, path, version});
       this.refuse(exchange, Status.NOT_FOUND, 'no route matches');
       return undefined;
     }
@@ -436,14 +440,9 @@
 
   private recordUnrouted(
     requestId: string,
-    {host, path}: {host: string; path: string},
-    version: number,
+    details: {host: string; path: string; version: number},
   ): void {
     this.parts.metrics.count('requests_unrouted_total');
-    this.parts.record(
-      EventCode.REQUEST_UNROUTED,
-      {host, path, version},
-      requestId,
-    );
+    this.parts.record(EventCode.REQUEST_UNROUTED, details, requestId);
   }
 }
