Share a gate's capacity between client accounts

A gate ordered by importance, then by deadline, so one account could take all capacity of an importance. Within an importance, accounts now take turns by start-time fair queueing: each has the order of the parameters within itself, and is charged the expected service time of what it starts. The same order chooses what is evicted (the account whose backlog reaches furthest) and what is refused on arrival (by the place of its account). Each account gets at least a quarter of the served share of all. All requests without an account are one account.

The extension of the backlog counts was not tried.

--- a/packages/sycamoreyoke/src/process/admissionEstimate.ts
+++ b/packages/sycamoreyoke/src/process/admissionEstimate.ts
@@ -18,6 +18,7 @@
 /** Snapshot of a gate's queue. */
 export interface QueueState {
   readonly nowMs: number;
+  /** Requests that start before a new one of the importance. */
   readonly waitingByImportance: readonly number[];
   readonly queueLimit: number;
   readonly maxWaitMs: number;
--- a/packages/sycamoreyoke/src/process/gate.ts
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -6,6 +6,8 @@
 import type {QueueState} from './admissionEstimate.js';
 import {AdmissionEstimate} from './admissionEstimate.js';
 import {DownstreamThrottle} from './downstreamThrottle.js';
+import type {AccountBacklog} from './fairness/fairQueue.js';
+import {FairQueue} from './fairness/fairQueue.js';
 import type {GateParameters} from './gateParameters.js';
 import type {ConcurrencyLimiter} from './limiter.js';
 import {ServiceTimes} from './serviceTimes.js';
@@ -13,7 +15,6 @@
 import {Completion, GateActionKind} from './types.js';
 import type {WaitBound} from './waitBound.js';
 import type {WaitingRequest} from './waitQueue.js';
-import {WaitQueue} from './waitQueue.js';
 
 const IMPORTANCES = [
   Importance.LOW,
@@ -41,6 +42,8 @@
   readonly report: InvariantReporter;
 }
 
+type BacklogKey = Pick<Arrival, 'importance' | 'account'>;
+
 interface RunningRequest {
   readonly arrival: Arrival;
   readonly startedMs: number;
@@ -48,12 +51,13 @@
 
 /**
  * Admits requests up to an adaptive concurrency limit and queues the rest.
- * Queued requests start by descending importance, and within one importance in
+ * Queued requests start by descending importance. Within one importance,
+ * capacity is shared between client accounts, and an account's requests start in
  * the order that the parameters define. A request that can no longer finish
  * before its deadline is refused without being run.
  */
 export class AdaptiveGate implements Gate {
-  private queues: readonly WaitQueue[];
+  private queues: readonly FairQueue[];
   private parameters: GateParameters;
   private readonly waiting = new Map<string, WaitingRequest>();
   private readonly running = new Map<string, RunningRequest>();
@@ -67,7 +71,7 @@
 
   constructor(private readonly parts: GateParts) {
     this.parameters = parts.parameters;
-    this.queues = IMPORTANCES.map(() => new WaitQueue(parts.parameters.order));
+    this.queues = IMPORTANCES.map(() => new FairQueue(parts.parameters.order));
     this.throttle = createThrottle(parts.parameters);
     this.waitBound = parts.parameters.createWaitBound();
   }
@@ -75,7 +79,7 @@
   /** Replaces the parameters. Requests already in the queue stay there. */
   update(parameters: GateParameters): void {
     this.parameters = parameters;
-    this.queues = IMPORTANCES.map(() => new WaitQueue(parameters.order));
+    this.queues = IMPORTANCES.map(() => new FairQueue(parameters.order));
     for (const request of this.waiting.values()) {
       this.queues[request.arrival.importance]?.add(request);
     }
@@ -86,6 +90,7 @@
   offer(arrival: Arrival): GateAction[] {
     const nowMs = this.parts.clock.readMs();
     this.checkTicketIsNew(arrival.ticket);
+    this.queues[arrival.importance]?.recordOffer(arrival.account, nowMs);
     const needMs = this.computeNeedMs(arrival, nowMs);
     if (isTimeTooShort(arrival, needMs, nowMs)) {
       return [this.createRefusal(arrival, RefusalReason.DEADLINE)];
@@ -124,6 +129,7 @@
 
   tick(): GateAction[] {
     const nowMs = this.parts.clock.readMs();
+    for (const queue of this.queues) queue.removeIdle(nowMs);
     const refusals = this.expireWaiting(nowMs);
     return [...refusals, ...this.startWaiting(nowMs)];
   }
@@ -146,6 +152,12 @@
     return this.parts.limiter.readLimit();
   }
 
+  /** Describes the backlog at the importance of an offered request. */
+  describeBacklog({importance, account}: BacklogKey): AccountBacklog {
+    const empty = {accountWaiting: 0, waitingAccounts: 0};
+    return this.queues[importance]?.describeBacklog(account) ?? empty;
+  }
+
   private checkTicketIsNew(ticket: string): void {
     if (this.waiting.has(ticket) || this.running.has(ticket)) {
       throw new SycamoreyokeError(`ticket "${ticket}" was offered twice`);
@@ -171,6 +183,8 @@
   private start(arrival: Arrival, nowMs: number): GateAction {
     this.checkStart(arrival);
     this.estimate.observeStart(arrival.importance, nowMs);
+    const cost = this.serviceTimes.computeCost(getKind(arrival));
+    this.queues[arrival.importance]?.recordStart(arrival.account, cost, nowMs);
     this.running.set(arrival.ticket, {arrival, startedMs: nowMs});
     return {kind: GateActionKind.START, ticket: arrival.ticket};
   }
@@ -194,13 +208,16 @@
   }
 
   /**
-   * Removes expired requests from both ends of each queue, since a queue need
-   * not be ordered by deadline.
+   * Removes expired requests from both ends of the order of each importance,
+   * since it need not be by deadline.
    */
   private expireWaiting(nowMs: number): GateAction[] {
     const actions: GateAction[] = [];
     for (const queue of this.queues) {
-      for (const readEnd of [() => queue.readFirst(), () => queue.readLast()]) {
+      for (const readEnd of [
+        () => queue.readEarliest(),
+        () => queue.readLatest(),
+      ]) {
         let request = readEnd();
         while (request) {
           const reason = this.chooseExpiryReason(request, nowMs);
@@ -273,20 +290,24 @@
   }
 
   /**
-   * Whether the expected queueing time exceeds the slack of the request. The
-   * caller occupies a slot while the request waits, so queueing a request that
-   * will expire wastes capacity at the caller.
+   * Whether the expected queueing time, given the place of its account in the
+   * order, exceeds the slack of the request. The caller occupies a slot while
+   * the request waits, so queueing a request that will expire wastes capacity at
+   * the caller.
    */
   private isWaitTooLong(
-    {importance, deadline}: Arrival,
+    {importance, deadline, account}: Arrival,
     needMs: number,
     nowMs: number,
   ): boolean {
     if (importance === Importance.CRITICAL) return false;
-    const waitMs = this.estimate.computeWaitMs(
-      importance,
-      this.describeQueue(nowMs),
-    );
+    const waitingByImportance = [...this.waitingByImportance];
+    waitingByImportance[importance] =
+      this.queues[importance]?.countAhead(account) ?? 0;
+    const waitMs = this.estimate.computeWaitMs(importance, {
+      ...this.describeQueue(nowMs),
+      waitingByImportance,
+    });
     return waitMs > deadline - nowMs - needMs;
   }
 
--- a/packages/sycamoreyoke/src/process/serviceTimes.ts
+++ b/packages/sycamoreyoke/src/process/serviceTimes.ts
@@ -6,6 +6,9 @@
 const DECAY_DELAY_MS = 250;
 /** Half-life of a decaying estimate. */
 const DECAY_HALF_LIFE_MS = 250;
+/** Bounds of a relative cost, so that no estimate shuts out an account. */
+const MIN_COST = 0.125;
+const MAX_COST = 8;
 
 interface Estimate {
   readonly meanMs: number;
@@ -43,6 +46,16 @@
     return this.overallMs;
   }
 
+  /**
+   * Returns the mean service time of a kind as a multiple of that of all, within
+   * bounds; 1 without samples.
+   */
+  computeCost(kind: string): number {
+    const meanMs = this.estimates.get(kind)?.meanMs;
+    if (!meanMs || !this.overallMs) return 1;
+    return Math.min(MAX_COST, Math.max(MIN_COST, meanMs / this.overallMs));
+  }
+
   /**
    * Returns the time to reserve for a request, ms: the mean plus a number of
    * mean deviations; 0 without samples.
--- a/packages/sycamoreyoke/src/process/types.ts
+++ b/packages/sycamoreyoke/src/process/types.ts
@@ -9,6 +9,11 @@
   readonly deadline: number;
   /** Groups requests of similar service time; defaults to the importance. */
   readonly requestClass?: string;
+  /**
+   * Client account between which capacity is shared. Requests without one form
+   * an account of their own.
+   */
+  readonly account?: string | undefined;
 }
 
 /** Result of a started request, as far as the gate needs it. */
--- a/packages/sycamoreyoke/src/process/waitQueue.ts
+++ b/packages/sycamoreyoke/src/process/waitQueue.ts
@@ -73,7 +73,8 @@
   }
 
   private removeStale(heap: Heap<WaitingRequest>): void {
-    if (heap.count() > 2 * this.size + MAX_STALE_ENTRIES) {
+    // An empty queue may belong to an account that is kept for a while.
+    if (this.size === 0 || heap.count() > 2 * this.size + MAX_STALE_ENTRIES) {
       heap.removeExcept(({isWaiting}) => isWaiting);
     }
   }
