--- a/packages/sycamoreyoke/src/process/metrics.ts
+++ b/packages/sycamoreyoke/src/process/metrics.ts
@@ -22,6 +22,12 @@
   value: number;
 }
 
+/** A value of a counter that another object owns. */
+export interface CounterSample {
+  readonly labels: Labels;
+  readonly value: number;
+}
+
 interface Gauge extends Series {
   readonly read: () => number;
 }
@@ -55,6 +61,10 @@
 export class Metrics {
   private readonly counters = new Map<string, Counter>();
   private readonly gauges = new Map<string, Gauge>();
+  private readonly collections = new Map<
+    string,
+    () => readonly CounterSample[]
+  >();
   private readonly timers = new Map<string, Timer>();
 
   /** Adds to a counter. */
@@ -75,6 +85,11 @@
     this.gauges.set(buildKey(name, labels), {name, labels, read});
   }
 
+  /** Registers a counter whose series are listed when they are rendered. */
+  collect(name: string, list: () => readonly CounterSample[]): void {
+    this.collections.set(name, list);
+  }
+
   /** Records a duration in milliseconds. */
   observe(name: string, milliseconds: number, labels: Labels = {}): void {
     const key = buildKey(name, labels);
@@ -89,8 +104,12 @@
 
   /** Renders all series in the Prometheus text format. */
   render(): string {
+    const collected = [...this.collections].flatMap(([name, list]) =>
+      list().map((sample) => ({name, ...sample})),
+    );
+    const counters = [...this.counters.values(), ...collected];
     return [
-      ...renderFamilies([...this.counters.values()], 'counter', (counter) => [
+      ...renderFamilies(counters, 'counter', (counter) => [
         `${counter.name}${formatLabels(counter.labels)} ${counter.value}`,
       ]),
       ...renderFamilies([...this.gauges.values()], 'gauge', (gauge) => [
--- a/packages/sycamoreyoke/src/version/accounts.ts
+++ b/packages/sycamoreyoke/src/version/accounts.ts
@@ -17,6 +17,8 @@
 export interface AccountTable {
   readonly accounts: ReadonlyMap<string, Account>;
   readonly accountsByKey: ReadonlyMap<string, Account>;
+  /** Names of the holders of each key that several accounts hold. */
+  readonly sharedKeys: ReadonlyMap<string, readonly string[]>;
 }
 
 /**
@@ -24,16 +26,19 @@
  * requests of one would be charged to the other.
  */
 export function compileAccounts(accounts: readonly Account[]): AccountTable {
-  const shared = new Set(listSharedKeys(accounts).map(({key}) => key));
+  const sharedKeys = new Map(
+    listSharedKeys(accounts).map(({key, holders}) => [key, holders]),
+  );
   const accountsByKey = new Map<string, Account>();
   for (const account of accounts) {
     for (const key of account.keys) {
-      if (!shared.has(key)) accountsByKey.set(key, account);
+      if (!sharedKeys.has(key)) accountsByKey.set(key, account);
     }
   }
   return {
     accounts: new Map(accounts.map((account) => [account.name, account])),
     accountsByKey,
+    sharedKeys,
   };
 }
 
