Order calls by account at the gate, and name the account of refusals

The gate of a sidecar did not know the account of a call. OutgoingCall.account now reaches its order. The events of a request at its origin, GATE_REFUSED and UPSTREAM_RUN_FAILED carry the account; GATE_REFUSED has its backlog, and REQUEST_UNAUTHENTICATED why the key identifies no account and who holds or held it. account_requests_total counts answers by account and reason. Without accounts, no event has a new detail.

The tests of accounts, origin call, upstream task and the event catalogue pass, with real processes for the log. Without the account at the gate, without the account in events, with calls of upstreams in the metrics and with the key in the log, one of them fails each.

--- a/packages/sidecar/src/process/upstreamLog.ts
+++ b/packages/sidecar/src/process/upstreamLog.ts
@@ -1,4 +1,5 @@
 /** Records events of a gate and its upstream in the log. */
+import type {AccountBacklog} from 'sycamoreyoke/process/fairness/fairQueue';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
@@ -14,12 +15,13 @@
 /** Lowest status that means a failure of the upstream. */
 const FIRST_ERROR_STATUS = 500;
 
-/** Records a refusal with what it depended on: load and remaining time. */
+/** Records a refusal with what it depended on: load, account, remaining time. */
 export function recordRefusal(
   record: EventRecorder,
-  {kind, importance, leftMs, requestId}: OutgoingCall,
+  {kind, importance, leftMs, requestId, account}: OutgoingCall,
   reason: GateReason,
   {running, waiting, limit}: GateState,
+  {accountWaiting, waitingAccounts}: AccountBacklog,
 ): void {
   if (reason === GateReason.CANCELLED) return;
   record(
@@ -32,6 +34,9 @@
       waiting,
       limit,
       leftMs: Math.round(leftMs),
+      ...(account === undefined
+        ? {}
+        : {account, accountWaiting, waitingAccounts}),
     },
     requestId,
   );
@@ -59,6 +64,7 @@
       elapsedMs: Math.round(elapsedMs),
       running,
       waiting,
+      ...(call.account === undefined ? {} : {account: call.account}),
     },
     call.requestId,
   );
--- a/packages/sidecar/src/process/upstreamTask.test.ts
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -2,6 +2,8 @@
 import {systemClock} from '@sycamoreyoke/node/process/systemClock';
 import {expect} from 'chai';
 import {CallParents} from 'sycamoreyoke/process/callParents';
+import type {EventDetails, EventRecorder} from 'sycamoreyoke/process/events';
+import {EventCode} from 'sycamoreyoke/process/events';
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
 import {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
 import {SendEnd} from 'sycamoreyoke/request/resend';
@@ -22,6 +24,7 @@
 function createTask(
   port: number,
   crashes: Partial<CrashGuard> = {},
+  record: EventRecorder = () => undefined,
 ): UpstreamTask {
   const task = new UpstreamTask({
     service: 'booking',
@@ -57,7 +60,7 @@
     hasTimeToStart: () => true,
     parameters: GOODPUT_PARAMETERS,
     report: () => undefined,
-    record: () => undefined,
+    record,
     handleChange: () => undefined,
   });
   task.observeHeartbeat({
@@ -128,3 +131,44 @@
   expect(suspects.flat()).not.to.include('second');
   task.stop();
 });
+
+// Guards against a gate that ignores the account of a call, so that the backlog
+// of one account delays another one, and against a refusal without the account.
+it('upstream task: the gate shares capacity between accounts', async () => {
+  const started: string[] = [];
+  const upstream = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      started.push('');
+      socket.destroy();
+    });
+  });
+  const port = await listen(upstream, 0);
+  const refusals: EventDetails[] = [];
+  const task = createTask(port, {}, (code, details = {}) => {
+    if (code === EventCode.GATE_REFUSED) refusals.push(details);
+  });
+  const ends: string[] = [];
+  const offer = (requestId: string, account: string, leftMs: number) =>
+    task.offer(
+      {...createCall(requestId), account, leftMs, usefulMs: leftMs},
+      () => ends.push(requestId),
+    );
+  offer('large-1', 'large', 3_000);
+  offer('large-2', 'large', 3_000);
+  offer('large-3', 'large', 3_000);
+  offer('small-1', 'small', 3_500);
+  await waitFor(() => ends.length === 4);
+  expect(ends).to.deep.equal(['large-1', 'small-1', 'large-2', 'large-3']);
+  task.offer({...createCall('x'), account: 'large', service: 'other'}, () =>
+    ends.push('x'),
+  );
+  expect(refusals.at(-1)).to.include({
+    account: 'large',
+    accountWaiting: 0,
+    waitingAccounts: 0,
+  });
+  expect(started).to.have.length(4);
+  task.stop();
+  upstream.close();
+});
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -221,6 +221,7 @@
         limit: this.gate.readLimit(),
       }),
       requestClass: call.kind,
+      account: call.account,
     };
     this.applyActions(this.gate.offer(arrival));
     return {
@@ -368,7 +369,13 @@
   }
 
   private recordRefusal(call: OutgoingCall, reason: GateReason): void {
-    recordRefusal(this.parts.record, call, reason, this.describeLoad());
+    recordRefusal(
+      this.parts.record,
+      call,
+      reason,
+      this.describeLoad(),
+      this.gate.describeBacklog(call),
+    );
   }
 
   private scheduleTick(): void {
--- a/packages/sidecar/src/request/originCall.test.ts
+++ b/packages/sidecar/src/request/originCall.test.ts
@@ -1,5 +1,8 @@
 import {expect} from 'chai';
 import {VirtualClock} from 'sycamoreyoke/clock';
+import {AccountMetrics} from 'sycamoreyoke/process/accountMetrics';
+import type {EventRecorder} from 'sycamoreyoke/process/events';
+import {EventCode} from 'sycamoreyoke/process/events';
 import {Metrics} from 'sycamoreyoke/process/metrics';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {Importance} from 'sycamoreyoke/types';
@@ -17,11 +20,28 @@
 const BUSY = createFailure(SendEnd.REFUSED_BY_GATE, GateReason.OVERLOADED, 70);
 const LOST = createFailure(SendEnd.LOST, GateReason.LINK_LOST);
 
+/** What a call needs besides its answers, where a test concerns it. */
+interface CallChanges {
+  readonly account?: string;
+  readonly parentId?: string;
+  readonly record?: EventRecorder;
+  readonly accountMetrics?: AccountMetrics;
+}
+
 /** Creates a call whose consecutive sends are answered as given. */
 function createCall(
   repeatability: Repeatability,
   answers: Answer[],
   ...sends: Send[]
+): OriginCall {
+  return createAccountCall({}, repeatability, answers, ...sends);
+}
+
+function createAccountCall(
+  changes: CallChanges,
+  repeatability: Repeatability,
+  answers: Answer[],
+  ...sends: Send[]
 ): OriginCall {
   let next = 0;
   const choose = (): ChosenNode | undefined => {
@@ -59,15 +79,16 @@
     deadlineMs: 1_000,
     usefulUntilMs: 500,
     configurationVersion: 1,
-    parentId: undefined,
-    account: undefined,
+    parentId: changes.parentId,
+    account: changes.account,
   };
   return new OriginCall(request, {
     clock: new VirtualClock(),
     peers: {choose},
     callerService: 'c',
-    record: () => undefined,
+    record: changes.record ?? (() => undefined),
     metrics: new Metrics(),
+    accountMetrics: changes.accountMetrics ?? new AccountMetrics(),
     readRetryBudget: () => ({
       recordFirstAttempt: () => undefined,
       takeRetry: () => true,
@@ -124,3 +145,32 @@
   ]);
   expect(answers[1]?.result.retryAfterMs).to.equal(70);
 });
+
+// Guards against a refusal that an operator cannot trace to the account of the
+// client, in the log or in the metrics.
+it('origin call: events and metrics carry the account', () => {
+  const events: string[] = [];
+  const accountMetrics = new AccountMetrics();
+  const changes = {
+    account: 'hotel',
+    accountMetrics,
+    record: ((code, details) =>
+      events.push(
+        `${EventCode[code]} ${details?.['account']}`,
+      )) as EventRecorder,
+  };
+  const sends = [answerWith(BUSY), answerWith(BUSY)];
+  createAccountCall(changes, Repeatability.ONCE, [], ...sends).start();
+  const child = {...changes, parentId: 'p'};
+  createAccountCall(child, Repeatability.ONCE, [], ...sends).start();
+  const expected = ['CALL_RETRIED hotel', 'REQUEST_REFUSED hotel'];
+  expect([...new Set(events)]).to.deep.equal(expected);
+  const [sample, ...others] = accountMetrics.list();
+  expect(others).to.deep.equal([]);
+  expect(sample?.value, 'calls of upstreams are not counted').to.equal(1);
+  expect(sample?.labels).to.deep.equal({
+    account: 'hotel',
+    answer: AnswerKind.NOT_RUN,
+    reason: GateReason.OVERLOADED,
+  });
+});
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -1,5 +1,6 @@
 /** Sends a client's or the upstream's request to nodes until it is answered. */
 import type {Clock} from 'sycamoreyoke/clock';
+import type {AccountMetrics} from 'sycamoreyoke/process/accountMetrics';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
@@ -66,6 +67,7 @@
   readonly callerService: string;
   readonly record: EventRecorder;
   readonly metrics: Metrics;
+  readonly accountMetrics: AccountMetrics;
   readonly readRetryBudget: (service: string) => RetryAllowance;
   readonly handle: (answer: Answer) => void;
 }
@@ -257,7 +259,13 @@
   private answer(kind: AnswerKind, result: CallResult): void {
     const elapsedMs = this.parts.clock.readMs() - this.request.arrivedMs;
     this.finish();
-    const {route} = this.request;
+    const {route, account, parentId} = this.request;
+    // The requests of the account's clients; calls made for them add nothing.
+    if (account !== undefined && parentId === undefined) {
+      const nowMs = this.parts.clock.readMs();
+      const reason = result.reason ?? '';
+      this.parts.accountMetrics.record(account, kind, reason, nowMs);
+    }
     const labels = {route: route.name, answer: kind};
     this.parts.metrics.count('requests_total', labels);
     this.parts.metrics.observe('request_seconds', elapsedMs, {
@@ -311,7 +319,9 @@
     code: EventCode,
     details: Readonly<Record<string, string | number>>,
   ): void {
-    this.parts.record(code, details, this.request.requestId);
+    const {account, requestId} = this.request;
+    const accountDetails = account === undefined ? {} : {account};
+    this.parts.record(code, {...details, ...accountDetails}, requestId);
   }
 }
 
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -1,7 +1,8 @@
 /** Handles the requests that arrive at the outbound address. */
 import type {IncomingMessage} from 'node:http';
 import type {Clock} from 'sycamoreyoke/clock';
-import type {EventRecorder} from 'sycamoreyoke/process/events';
+import type {AccountMetrics} from 'sycamoreyoke/process/accountMetrics';
+import type {EventDetails, EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
 import {RequestTimes} from 'sycamoreyoke/process/requestTimes';
@@ -10,6 +11,7 @@
 import {Importance} from 'sycamoreyoke/types';
 import type {Account} from 'sycamoreyoke/version/accounts';
 import {CredentialCheck, checkCredentials} from 'sycamoreyoke/version/accounts';
+import {KeyHistory} from 'sycamoreyoke/version/keyHistory';
 import type {Route, RouteTable} from 'sycamoreyoke/version/routeTable';
 import {findRoute} from 'sycamoreyoke/version/routeTable';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
@@ -29,6 +31,7 @@
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
+import {describeAccount, describeKeyFault} from './accountDetails.js';
 import {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
 
@@ -42,6 +45,7 @@
   readonly service: string;
   readonly record: EventRecorder;
   readonly metrics: Metrics;
+  readonly accountMetrics: AccountMetrics;
   readonly readTable: () => RouteTable | undefined;
   readonly readRetryBudget: (service: string) => RetryAllowance;
   /** Finds the running request for which the upstream makes a call, if any. */
@@ -84,6 +88,7 @@
 
   private handled = 0;
   private readonly requestTimes = new RequestTimes();
+  private readonly keyHistory = new KeyHistory();
 
   constructor(private readonly parts: OriginHandlerParts) {}
 
@@ -130,6 +135,7 @@
       this.refuseEarly(exchange, Status.UNAVAILABLE, message, START_RETRY_MS);
       return;
     }
+    this.keyHistory.update(table.accounts);
     const head = this.parts.wire.readClientHead(request.rawHeaders);
     const host = getHeader(request.rawHeaders, 'host');
     if (head.requestId === undefined || host === undefined) {
@@ -141,7 +147,9 @@
     const service =
       route && this.parts.rotation.choose(route.name, route.targets);
     if (!route || service === undefined) {
-      this.recordUnrouted(head.requestId, {host, path}, table.version);
+      const account = describeAccount(table.accounts, head.key);
+      const place = {host, path, ...account};
+      this.recordUnrouted(head.requestId, place, table.version);
       this.refuse(exchange, Status.NOT_FOUND, 'no route matches');
       return;
     }
@@ -213,11 +221,10 @@
     route: Route,
     version: number,
   ): void {
-    const hasKey = key !== undefined;
     this.parts.metrics.count('requests_unauthenticated_total');
     this.parts.record(
       EventCode.REQUEST_UNAUTHENTICATED,
-      {route: route.name, hasKey, version},
+      {...describeKeyFault(this.keyHistory, key), route: route.name, version},
       requestId,
     );
     this.refuse(exchange, Status.UNAUTHORIZED, 'the key is missing or unknown');
@@ -242,14 +249,15 @@
   }
 
   private start(exchange: ClientExchange, routed: RoutedRequest): void {
-    const {clock, peers, service, record, metrics, readRetryBudget} =
-      this.parts;
+    const {clock, peers, service, record} = this.parts;
+    const {metrics, accountMetrics, readRetryBudget} = this.parts;
     const call = new OriginCall(routed, {
       clock,
       peers,
       callerService: service,
       record,
       metrics,
+      accountMetrics,
       readRetryBudget,
       handle: (answer) => this.answer(exchange, routed, answer),
     });
@@ -329,24 +337,23 @@
     retryMs?: number,
   ): void {
     const {rawHeaders} = exchange.request;
-    const {requestId} = this.parts.wire.readClientHead(rawHeaders);
-    const details = {answer: AnswerKind.NOT_RUN, status, reason};
+    const head = this.parts.wire.readClientHead(rawHeaders);
+    const table = this.parts.readTable();
+    const account = describeAccount(table?.accounts, head.key);
+    const details = {answer: AnswerKind.NOT_RUN, status, reason, ...account};
     this.parts.metrics.count('requests_turned_away_total', {reason});
-    this.parts.record(EventCode.REQUEST_REFUSED, details, requestId);
+    this.parts.record(EventCode.REQUEST_REFUSED, details, head.requestId);
     this.refuse(exchange, status, reason, retryMs);
   }
 
   private recordUnrouted(
     requestId: string,
-    {host, path}: {host: string; path: string},
+    place: EventDetails,
     version: number,
   ): void {
+    const details = {...place, version};
     this.parts.metrics.count('requests_unrouted_total');
-    this.parts.record(
-      EventCode.REQUEST_UNROUTED,
-      {host, path, version},
-      requestId,
-    );
+    this.parts.record(EventCode.REQUEST_UNROUTED, details, requestId);
   }
 }
 
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {InvariantReporter} from 'sycamoreyoke/invariants';
+import {AccountMetrics} from 'sycamoreyoke/process/accountMetrics';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {QUIET_DECAY_MS} from 'sycamoreyoke/process/downstreamThrottle';
@@ -341,6 +342,7 @@
     budgets.set(service, budget);
     return budget;
   };
+  const accountMetrics = new AccountMetrics();
   const origin = new OriginHandler({
     clock,
     random,
@@ -350,6 +352,7 @@
     service: settings.service,
     record,
     metrics,
+    accountMetrics,
     readTable: () => configuration.read()?.table,
     readRetryBudget,
     startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
@@ -366,6 +369,7 @@
     },
     (exchange) => origin.handle(exchange),
   );
+  metrics.collect('account_requests_total', () => accountMetrics.list());
   metrics.watch('gate_running', () => upstream.describeLoad().running);
   metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
   metrics.watch('gate_limit', () => upstream.describeLoad().limit);
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -8,6 +8,8 @@
   readonly details: readonly string[];
 }
 
+const ACCOUNT = 'account: client account, if any';
+
 function describe(meaning: string, ...details: string[]): CatalogueEntry {
   return {meaning, details};
 }
@@ -65,6 +67,7 @@
     'outcome',
     'reason',
     'message',
+    ACCOUNT,
   ),
   [EventCode.REQUEST_STARTED]: describe(
     'The call was sent to the upstream.',
@@ -93,12 +96,14 @@
   [EventCode.REQUEST_CANCELLED]: describe(
     'The client disconnected before its request was answered.',
     'sends: nodes that it was sent to',
+    ACCOUNT,
   ),
   [EventCode.REQUEST_UNROUTED]: describe(
     'No route of the current configuration matches the request.',
     'host',
     'path',
     'version: configuration version',
+    ACCOUNT,
   ),
   [EventCode.GATE_REFUSED]: describe(
     'A gate refused a call before it reached the upstream.',
@@ -109,6 +114,9 @@
     'waiting',
     'limit',
     'leftMs: remaining time, ms',
+    ACCOUNT,
+    'accountWaiting: waiting requests of the account at this importance',
+    'waitingAccounts: accounts with waiting requests at this importance',
   ),
   [EventCode.UPSTREAM_RUN_FAILED]: describe(
     'A request that was sent to the upstream did not succeed.',
@@ -121,11 +129,14 @@
     'elapsedMs: ms',
     'running',
     'waiting',
+    ACCOUNT,
   ),
   [EventCode.REQUEST_UNAUTHENTICATED]: describe(
     'The key of the request is missing or belongs to no account.',
     'route',
     'hasKey: whether the request had a key',
+    'fault: missing, unknown, shared (by several accounts) or withdrawn (by a later version)',
+    'account: client accounts that hold or held the key, if any',
     'version: configuration version',
   ),
   [EventCode.CALL_ROUTED]: describe(
@@ -139,6 +150,7 @@
     'service',
     'delayMs: wait before the attempt, ms',
     'allowance: retries left',
+    ACCOUNT,
   ),
   [EventCode.CALL_COMPLETED]: describe(
     'The egress forwarded a response.',
@@ -147,6 +159,7 @@
     'status',
     'retries',
     'elapsedMs: ms',
+    ACCOUNT,
   ),
   [EventCode.CALL_REFUSED_EARLY]: describe(
     'The egress refused a call that the target would refuse.',
