Summarize a refusal in the command explain

The account and the reason of a refused client had to be found in the details of several lines. JSON output is unchanged.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -7,6 +7,7 @@
 import {readFleet, readTimeline} from '../fleet.js';
 import {logsSetting, readLogFiles, collectRequestEvents} from '../logFiles.js';
 import {jsonSetting, nodesSetting} from '../nodesSetting.js';
+import {describeRefusal} from '../refusalSummary.js';
 import {renderExplanation} from '../renderEvents.js';
 
 const settingsSchema = z.strictObject({
@@ -49,9 +50,15 @@
     process.exitCode = ExitCode.FINDINGS;
     return;
   }
+  const refusal = describeRefusal(events, requestId);
   const lines = json
     ? [JSON.stringify(events, null, 2)]
-    : events.map((event) => renderExplanation(event, firstEvent.time.wallMs));
+    : [
+        ...events.map((event) =>
+          renderExplanation(event, firstEvent.time.wallMs),
+        ),
+        ...(refusal === undefined ? [] : [refusal]),
+      ];
   process.stdout.write(`${lines.join('\n')}\n`);
 }
 
