--- a/packages/sycamoreyoke/src/process/fairness/fairOrder.test.ts
+++ b/packages/sycamoreyoke/src/process/fairness/fairOrder.test.ts
@@ -81,6 +81,24 @@
   expect(fair.utilization).to.be.above(0.98);
 });
 
+// Guards against shutting out a few accounts that are large as usual, while all
+// are served badly: three send half of the requests, and the upstream serves
+// three in ten.
+it('fair order: large accounts keep a quarter of the share of all', () => {
+  const rates = Array.from({length: 73}, (_, index) => (index < 3 ? 233 : 10));
+  const loads = rates.map((ratePerS, index) => {
+    return {account: `a-${index}`, ratePerS, ...LEFT};
+  });
+  const run = {order: Order.FAIR, loads, slots: 10, serviceMs: 24, seed: 2};
+  const results = [...runLoad({...run, durationMs: 20_000}).values()];
+  const offered = results.reduce((sum, result) => sum + result.offered, 0);
+  const served = results.reduce((sum, result) => sum + result.served, 0);
+  for (const result of results) {
+    const share = computeServedShare(result) / (served / offered);
+    expect(share).to.be.above(0.25);
+  }
+});
+
 /** Computes the largest demand that an equal share of the capacity covers. */
 function computeFairShare(demands: readonly number[], capacity: number) {
   let left = capacity;
