Count refusals of an account before a request is sent to a node

account_requests_total had only the answers of requests that were sent, so a customer's 401, 404 and refusals by a stopping node were missing. They are counted by reason now. REQUEST_UNAUTHENTICATED lists the holders of a shared key as accounts, since account names one. The tests of accounts (with the metrics of a real process), refusal summary and events pass.

--- a/packages/cli/src/refusalSummary.test.ts
+++ b/packages/cli/src/refusalSummary.test.ts
@@ -46,6 +46,10 @@
   expect(describeRefusal([withdrawn], 'r')).to.equal(
     'Refused: account=hotel reason=unauthenticated key=withdrawn',
   );
+  const shared = createEvent(code, {fault: 'shared', accounts: 'hotel depot'});
+  expect(describeRefusal([shared], 'r')).to.equal(
+    'Refused: account=hotel depot reason=unauthenticated key=shared',
+  );
   const missing = createEvent(code, {fault: 'missing'});
   expect(describeRefusal([missing], 'r')).to.equal(
     'Refused: account=none reason=unauthenticated key=missing',
--- a/packages/cli/src/refusalSummary.ts
+++ b/packages/cli/src/refusalSummary.ts
@@ -21,7 +21,8 @@
   const own = events.filter((event) => event.requestId === requestId);
   const refusal = own.findLast(({code}) => REFUSAL_CODES.has(code));
   if (!refusal) return undefined;
-  const account = refusal.details['account'] ?? 'none';
+  const {account: name, accounts} = refusal.details;
+  const account = name ?? accounts ?? 'none';
   const summary = `Refused: account=${account} ${describeReason(refusal)}`;
   const gateRefusal = own.findLast(({code}) => code === EventCode.GATE_REFUSED);
   const backlog = gateRefusal && describeBacklog(gateRefusal.details);
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -31,7 +31,11 @@
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
-import {describeAccount, describeKeyFault} from './accountDetails.js';
+import {
+  countRefusal,
+  describeAccount,
+  describeKeyFault,
+} from './accountDetails.js';
 import {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
 
@@ -221,10 +225,12 @@
     route: Route,
     version: number,
   ): void {
+    const fault = describeKeyFault(this.keyHistory, key);
     this.parts.metrics.count('requests_unauthenticated_total');
+    countRefusal(this.parts, fault, 'unauthenticated');
     this.parts.record(
       EventCode.REQUEST_UNAUTHENTICATED,
-      {...describeKeyFault(this.keyHistory, key), route: route.name, version},
+      {...fault, route: route.name, version},
       requestId,
     );
     this.refuse(exchange, Status.UNAUTHORIZED, 'the key is missing or unknown');
@@ -342,6 +348,7 @@
     const account = describeAccount(table?.accounts, head.key);
     const details = {answer: AnswerKind.NOT_RUN, status, reason, ...account};
     this.parts.metrics.count('requests_turned_away_total', {reason});
+    countRefusal(this.parts, account, reason);
     this.parts.record(EventCode.REQUEST_REFUSED, details, head.requestId);
     this.refuse(exchange, status, reason, retryMs);
   }
@@ -353,6 +360,7 @@
   ): void {
     const details = {...place, version};
     this.parts.metrics.count('requests_unrouted_total');
+    countRefusal(this.parts, place, 'unrouted');
     this.parts.record(EventCode.REQUEST_UNROUTED, details, requestId);
   }
 }
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -136,7 +136,8 @@
     'route',
     'hasKey: whether the request had a key',
     'fault: missing, unknown, shared (by several accounts) or withdrawn (by a later version)',
-    'account: client accounts that hold or held the key, if any',
+    'account: client account that held a withdrawn key',
+    'accounts: client accounts that hold a shared key',
     'version: configuration version',
   ),
   [EventCode.CALL_ROUTED]: describe(
