--- a/packages/sidecar/src/request/beginCheck.test.ts
+++ b/packages/sidecar/src/request/beginCheck.test.ts
@@ -57,6 +57,7 @@
         route: ROUTE,
         importance: IMPORTANCE,
         leftMs: LEFT_MS,
+        account: undefined,
       });
       if (retryMs === undefined) {
         client.begun += 1;
--- a/packages/sidecar/src/request/beginCheck.ts
+++ b/packages/sidecar/src/request/beginCheck.ts
@@ -26,6 +26,7 @@
   readonly importance: Importance;
   /** Time left to the client, ms. */
   readonly leftMs: number;
+  readonly account: string | undefined;
 }
 
 /** Shortest retry delay of a request that is not begun, ms. */
@@ -80,14 +81,14 @@
   }
 
   private recordRefusal(
-    {requestId, route, importance}: CheckedRequest,
+    {requestId, route, importance, account}: CheckedRequest,
     details: EventDetails,
   ): void {
     const {name} = route;
     this.parts.metrics.count('requests_not_begun_total', {route: name});
     this.parts.record(
       EventCode.REQUEST_NOT_BEGUN,
-      {route: name, importance, ...details},
+      {route: name, importance, account: account ?? '', ...details},
       requestId,
     );
   }
--- a/packages/sidecar/src/request/beginOrRefuse.test.ts
+++ b/packages/sidecar/src/request/beginOrRefuse.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {VirtualClock} from 'sycamoreyoke/clock';
+import {AccountMetrics} from 'sycamoreyoke/process/accountMetrics';
 import {Metrics} from 'sycamoreyoke/process/metrics';
 import {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import {SendEnd} from 'sycamoreyoke/request/resend';
@@ -13,6 +14,7 @@
   ClientExchange,
 } from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
+import {SegmentPool} from '../connection/segmentList.js';
 import {HeldBytes} from '../process/heldBytes.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {ParentCall} from '../process/upstreamTask.js';
@@ -91,6 +93,8 @@
     peers: {choose: () => node} as unknown as PeerTask,
     rotation: new WeightedRotation(),
     held: new HeldBytes(clock, {maxBytes: 1e6, largeBytes: 1e6}),
+    pool: new SegmentPool(0),
+    accountMetrics: new AccountMetrics(),
     service: 'o',
     record,
     metrics,
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -1,6 +1,7 @@
 /** Handles the requests that arrive at the outbound address. */
 import type {Clock} from 'sycamoreyoke/clock';
-import type {EventRecorder} from 'sycamoreyoke/process/events';
+import type {AccountMetrics} from 'sycamoreyoke/process/accountMetrics';
+import type {EventDetails, EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
 import {RequestTimes} from 'sycamoreyoke/process/requestTimes';
@@ -8,6 +9,7 @@
 import type {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Account} from 'sycamoreyoke/version/accounts';
 import {CredentialCheck, checkCredentials} from 'sycamoreyoke/version/accounts';
+import {KeyHistory} from 'sycamoreyoke/version/keyHistory';
 import type {Route, RouteTable} from 'sycamoreyoke/version/routeTable';
 import {findRoute} from 'sycamoreyoke/version/routeTable';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
@@ -26,6 +28,11 @@
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
 import type {SegmentPool} from '../connection/segmentList.js';
+import {
+  countRefusal,
+  describeAccount,
+  describeKeyFault,
+} from './accountDetails.js';
 import {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
 import {AnswerKind, OriginCall} from './originCall.js';
 import {BODY_REFUSALS, Status, buildRefusal} from './refusal.js';
@@ -50,6 +57,7 @@
   /** The budget for the bodies of requests. */
   readonly held: HeldBytes;
   readonly pool: SegmentPool;
+  readonly accountMetrics: AccountMetrics;
   readonly readTable: () => RouteTable | undefined;
   readonly readRetryBudget: (service: string) => RetryAllowance;
   readonly beginCheck: BeginCheck;
@@ -92,6 +100,7 @@
 
   private handled = 0;
   private readonly requestTimes = new RequestTimes();
+  private readonly keyHistory = new KeyHistory();
 
   constructor(private readonly parts: OriginHandlerParts) {}
 
@@ -147,6 +156,7 @@
       this.refuseEarly(exchange, Status.UNAVAILABLE, message, START_RETRY_MS);
       return undefined;
     }
+    this.keyHistory.update(table.accounts);
     const client = this.parts.wire.readClientHead(rawHeaders);
     const host = getHeader(rawHeaders, 'host');
     if (client.requestId === undefined || host === undefined) {
@@ -159,7 +169,9 @@
       route && this.parts.rotation.choose(route.name, route.targets);
     if (!route || service === undefined) {
       const {version} = table;
-      this.recordUnrouted(client.requestId, {host, path, version});
+      const account = describeAccount(table.accounts, client.key);
+      const place = {host, path, version, ...account};
+      this.recordUnrouted(client.requestId, place);
       this.refuse(exchange, Status.NOT_FOUND, 'no route matches');
       return undefined;
     }
@@ -200,9 +212,12 @@
   ): boolean {
     const importance = chooseImportance(route, account, undefined);
     const leftMs = client.leftMs ?? DEFAULT_TIMEOUT_MS;
-    const request = {requestId, route, importance, leftMs};
-    const retryMs = this.parts.beginCheck.check(request);
+    const {beginCheck} = this.parts;
+    const name = account?.name;
+    const request = {requestId, route, importance, leftMs, account: name};
+    const retryMs = beginCheck.check(request);
     if (retryMs === undefined) return true;
+    countRefusal(this.parts, name ? {account: name} : {}, 'not-begun');
     const message = 'calls of the request would fail';
     this.refuse(exchange, Status.UNAVAILABLE, message, retryMs);
     return false;
@@ -299,11 +314,12 @@
     route: Route,
     version: number,
   ): void {
-    const hasKey = key !== undefined;
+    const fault = describeKeyFault(this.keyHistory, key);
     this.parts.metrics.count('requests_unauthenticated_total');
+    countRefusal(this.parts, fault, 'unauthenticated');
     this.parts.record(
       EventCode.REQUEST_UNAUTHENTICATED,
-      {route: route.name, hasKey, version},
+      {...fault, route: route.name, version},
       requestId,
     );
     this.refuse(exchange, Status.UNAUTHORIZED, 'the key is missing or unknown');
@@ -328,14 +344,15 @@
   }
 
   private start(exchange: ClientExchange, routed: RoutedRequest): void {
-    const {clock, peers, service, record, metrics, readRetryBudget} =
-      this.parts;
+    const {clock, peers, service, record} = this.parts;
+    const {metrics, accountMetrics, readRetryBudget} = this.parts;
     const call = new OriginCall(routed, {
       clock,
       peers,
       callerService: service,
       record,
       metrics,
+      accountMetrics,
       readRetryBudget,
       handle: (answer) => this.answer(exchange, routed, answer),
     });
@@ -431,18 +448,19 @@
     retryMs?: number,
   ): void {
     const {rawHeaders} = exchange.request;
-    const {requestId} = this.parts.wire.readClientHead(rawHeaders);
-    const details = {answer: AnswerKind.NOT_RUN, status, reason};
+    const head = this.parts.wire.readClientHead(rawHeaders);
+    const table = this.parts.readTable();
+    const account = describeAccount(table?.accounts, head.key);
+    const details = {answer: AnswerKind.NOT_RUN, status, reason, ...account};
     this.parts.metrics.count('requests_turned_away_total', {reason});
-    this.parts.record(EventCode.REQUEST_REFUSED, details, requestId);
+    countRefusal(this.parts, account, reason);
+    this.parts.record(EventCode.REQUEST_REFUSED, details, head.requestId);
     this.refuse(exchange, status, reason, retryMs);
   }
 
-  private recordUnrouted(
-    requestId: string,
-    details: {host: string; path: string; version: number},
-  ): void {
+  private recordUnrouted(requestId: string, details: EventDetails): void {
     this.parts.metrics.count('requests_unrouted_total');
+    countRefusal(this.parts, details, 'unrouted');
     this.parts.record(EventCode.REQUEST_UNROUTED, details, requestId);
   }
 }
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Clock} from 'sycamoreyoke/clock';
 import type {InvariantReporter} from 'sycamoreyoke/invariants';
+import {AccountMetrics} from 'sycamoreyoke/process/accountMetrics';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
@@ -346,6 +347,7 @@
     return budget;
   };
   const beginCheck = new BeginCheck({clock, record, metrics});
+  const accountMetrics = new AccountMetrics();
   const origin = new OriginHandler({
     clock,
     random,
@@ -357,6 +359,7 @@
     service: settings.service,
     record,
     metrics,
+    accountMetrics,
     readTable: () => configuration.read()?.table,
     readRetryBudget,
     beginCheck,
@@ -376,6 +379,7 @@
     },
     (exchange) => origin.handle(exchange),
   );
+  metrics.collect('account_requests_total', () => accountMetrics.list());
   metrics.watch('gate_running', () => upstream.describeLoad().running);
   metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
   metrics.watch('gate_limit', () => upstream.describeLoad().limit);
