--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -9,6 +9,7 @@
 import type {GateParameters} from 'sycamoreyoke/process/gateParameters';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
 import type {WorkDone} from 'sycamoreyoke/process/retryOrder';
+import {computeWorkDone} from 'sycamoreyoke/process/retryOrder';
 import type {GateAction} from 'sycamoreyoke/process/types';
 import {Completion, GateActionKind} from 'sycamoreyoke/process/types';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
@@ -18,7 +19,6 @@
 } from 'sycamoreyoke/process/upstreamPresence';
 import {PresenceChange} from 'sycamoreyoke/process/upstreamPresence';
 import {SendEnd} from 'sycamoreyoke/request/resend';
-import type {Importance} from 'sycamoreyoke/types';
 import {RefusalReason} from 'sycamoreyoke/types';
 import {createFailure} from '../connection/callFailure.js';
 import type {UpstreamPool} from '../connection/upstreamPool.js';
@@ -35,6 +35,7 @@
 import type {CrashTask} from './crashTask.js';
 import type {GateRefusal} from './gateRefusal.js';
 import {NODE_STOPPING_REFUSAL, createRefusal} from './gateRefusal.js';
+import type {ParentCall, ParentRequest} from './parentCall.js';
 import {SlotLimiter} from './slotLimiter.js';
 import type {CrashObserver} from './upstreamHealth.js';
 import {UpstreamHealth} from './upstreamHealth.js';
@@ -73,23 +74,6 @@
   run: UpstreamRun | undefined;
 }
 
-/** The request for which the upstream makes a call. */
-export interface ParentRequest {
-  readonly requestId: string;
-  readonly importance: Importance;
-  readonly account: string | undefined;
-  /** Whether the deadlines match; if not, it may be a client's request. */
-  readonly isConfirmed: boolean;
-  /** Returns how near the request is to its end. */
-  readWork(): WorkDone | undefined;
-}
-
-/** The same, while the call counts as open. */
-export interface ParentCall extends ParentRequest {
-  /** Records that the call was answered. */
-  finish(): void;
-}
-
 /** Weight of a new sample in the moving average of service times. */
 const SERVICE_WEIGHT = 0.05;
 
@@ -159,10 +143,10 @@
 
   private readWork({ticket, deadlineMs}: GateCall): WorkDone | undefined {
     const progress = this.parts.callParents.readProgress(ticket);
-    if (!progress) return undefined;
-    const {startedMs, answeredCalls} = progress;
-    const spentMs = this.parts.clock.readMs() - startedMs;
-    return {answeredCalls, spentShare: spentMs / (deadlineMs - startedMs)};
+    return (
+      progress &&
+      computeWorkDone(progress, deadlineMs, this.parts.clock.readMs())
+    );
   }
 
   /** Counts the kinds of calls that the gate throttles. */
--- a/packages/sidecar/src/request/beginOrRefuse.test.ts
+++ b/packages/sidecar/src/request/beginOrRefuse.test.ts
@@ -17,7 +17,7 @@
 import {SegmentPool} from '../connection/segmentList.js';
 import {HeldBytes} from '../process/heldBytes.js';
 import type {PeerTask} from '../process/peerTask.js';
-import type {ParentCall} from '../process/upstreamTask.js';
+import type {ParentCall} from '../process/parentCall.js';
 import type {ResultHandler, WireProtocol} from '../types.js';
 import {BeginCheck} from './beginCheck.js';
 import {OriginHandler} from './originHandler.js';
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -15,11 +15,10 @@
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {Random} from 'sycamoreyoke/random';
 import {DEFAULT_TIMEOUT_MS, STOP_RETRY_MS} from '../constants.js';
-import {runAfterNextRead} from '../process/eventLoop.js';
 import type {HeldBytes} from '../process/heldBytes.js';
 import type {PeerTask} from '../process/peerTask.js';
-import type {ParentCall, ParentRequest} from '../process/upstreamTask.js';
-import type {CallResult, ClientHead, WireProtocol} from '../types.js';
+import type {ParentCall, ParentRequest} from '../process/parentCall.js';
+import type {ClientHead, WireProtocol} from '../types.js';
 import {GateReason} from '../types.js';
 import type {BeginCheck} from './beginCheck.js';
 import type {Answer, RoutedRequest} from './originCall.js';
@@ -33,7 +32,7 @@
   describeAccount,
   describeKeyFault,
 } from './accountDetails.js';
-import {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
+import {forwardResponse, refuseExchange} from './exchangeAnswers.js';
 import {AnswerKind, OriginCall} from './originCall.js';
 import {BODY_REFUSALS, Status, buildRefusal} from './refusal.js';
 import {
@@ -43,6 +42,7 @@
   readAnnouncedBytes,
 } from './requestBody.js';
 import {chooseImportance, computeUsefulUntil} from './routeChoice.js';
+import {isAcceptedDuringStop} from './stopAcceptance.js';
 
 /** Dependencies of the handler. */
 export interface OriginHandlerParts {
@@ -74,8 +74,6 @@
 /** Shortest retry delay advised to clients. */
 const MIN_RETRY_MS = 100;
 const EMPTY_BODY = new Uint8Array(0);
-/** Limit of what is read of a refused request to keep its connection. */
-const MAX_DISCARDED_BYTES = 64 * 1024;
 
 /** A request that passed the checks of its head; its body may be missing. */
 interface AcceptedHead {
@@ -284,10 +282,10 @@
       return undefined;
     }
     const stop = this.parts.readStopSchedule();
-    if (
-      stop &&
-      !this.isAcceptedDuringStop(stop, parent, deadlineMs, route.name)
-    ) {
+    const nowMs = this.parts.clock.readMs();
+    const usualMs = this.requestTimes.computeUpperMs(route.name);
+    const times = {nowMs, deadlineMs, usualMs};
+    if (stop && !isAcceptedDuringStop(stop, parent, times)) {
       this.refuseStopping(exchange);
       return undefined;
     }
@@ -325,24 +323,6 @@
     this.refuse(exchange, Status.UNAUTHORIZED, 'the key is missing or unknown');
   }
 
-  /**
-   * Decides whether a stopping node accepts a request: only one that can be
-   * answered before the stop and, late in it, only calls for running requests.
-   */
-  private isAcceptedDuringStop(
-    stop: StopSchedule,
-    parent: ParentRequest | undefined,
-    deadlineMs: number,
-    route: string,
-  ): boolean {
-    const nowMs = this.parts.clock.readMs();
-    const usualMs = this.requestTimes.computeUpperMs(route);
-    if (stop.hasTimeToAnswer(nowMs, deadlineMs, usualMs)) return true;
-    if (!parent) return false;
-    // If it may be a client's request, it must not be cut off at the end.
-    return parent.isConfirmed || stop.clampDeadline(deadlineMs) === deadlineMs;
-  }
-
   private start(exchange: ClientExchange, routed: RoutedRequest): void {
     const {clock, peers, service, record} = this.parts;
     const {metrics, accountMetrics, readRetryBudget} = this.parts;
@@ -373,7 +353,7 @@
       this.parts.beginCheck.observe(routed, result.status);
       const elapsedMs = this.parts.clock.readMs() - arrivedMs;
       this.requestTimes.observe(route.name, elapsedMs);
-      this.forward(exchange, result);
+      forwardResponse(exchange, result);
       return;
     }
     if (kind === AnswerKind.NOT_RUN) {
@@ -390,43 +370,14 @@
     this.refuse(exchange, status, message);
   }
 
-  /** Forwards the response of an upstream without its hop-by-hop headers. */
-  private forward(
-    exchange: ClientExchange,
-    {status, headers, body}: CallResult,
-  ): void {
-    const forwarded: string[] = [];
-    for (let index = 0; index < headers.length; index += 2) {
-      const name = headers[index] ?? '';
-      if (HOP_BY_HOP_HEADERS.has(name.toLowerCase())) continue;
-      forwarded.push(name, headers[index + 1] ?? '');
-    }
-    exchange.answer({status, headers: forwarded, body});
-  }
-
   private refuse(
     exchange: ClientExchange,
     status: Status,
     message: string,
     retryMs?: number,
   ): void {
-    const {request} = exchange;
-    const endsConnection = hasBody(request.rawHeaders) && !request.complete;
     const {random} = this.parts;
-    const answer = {
-      ...buildRefusal(status, message, retryMs, random),
-      endsConnection,
-    };
-    if (!endsConnection) {
-      exchange.answer(answer);
-      return;
-    }
-    // What follows is discarded. A small body has mostly arrived with its head;
-    // once it has been read, the connection can be kept.
-    request.resume();
-    const announcedBytes = readAnnouncedBytes(request.rawHeaders) ?? Infinity;
-    if (announcedBytes > MAX_DISCARDED_BYTES) exchange.answer(answer);
-    else runAfterNextRead(() => exchange.answer(answer));
+    refuseExchange(exchange, buildRefusal(status, message, retryMs, random));
   }
 
   private refuseBody(exchange: ClientExchange, fault: BodyFault): void {
--- a/packages/sidecar/src/request/routeChoice.ts
+++ b/packages/sidecar/src/request/routeChoice.ts
@@ -2,7 +2,7 @@
 import {Importance} from 'sycamoreyoke/types';
 import type {Account} from 'sycamoreyoke/version/accounts';
 import type {Route} from 'sycamoreyoke/version/routeTable';
-import type {ParentCall} from '../process/upstreamTask.js';
+import type {ParentCall} from '../process/parentCall.js';
 
 /** Importance of requests by the rank of their route; other ranks have LOW. */
 const IMPORTANCE_BY_RANK = [
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -8,8 +8,6 @@
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
-import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
-import {createRetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {isStarted} from 'sycamoreyoke/process/startPhase';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
@@ -51,6 +49,7 @@
 import {computeMemoryLimits} from './process/memoryLimits.js';
 import {NodeRows} from './process/nodeRows.js';
 import {PeerTask} from './process/peerTask.js';
+import {createRetryBudgets} from './process/retryBudgets.js';
 import {StoreFollower} from './process/storeFollower.js';
 import {UpstreamTask} from './process/upstreamTask.js';
 import {BeginCheck} from './request/beginCheck.js';
@@ -324,28 +323,10 @@
     for (const follower of followers) follower.handleEra(era);
   });
 
-  const budgets = new Map<string, RetryAllowance>();
   /** Until the list is read, a node may know only itself. */
   const countNodes = () =>
     Math.max(fleet.list().length, nodeFollower.isListed() ? 1 : ASSUMED_NODES);
-  const readRetryBudget = (service: string): RetryAllowance => {
-    const known = budgets.get(service);
-    if (known) return known;
-    const budget = createRetryAllowance(
-      clock,
-      {
-        get share() {
-          return settings.retryBudget.share;
-        },
-        get slack() {
-          return settings.retryBudget.slack;
-        },
-      },
-      countNodes,
-    );
-    budgets.set(service, budget);
-    return budget;
-  };
+  const readRetryBudget = createRetryBudgets(clock, settings, countNodes);
   const beginCheck = new BeginCheck({clock, record, metrics});
   const accountMetrics = new AccountMetrics();
   const origin = new OriginHandler({
--- a/packages/sycamoreyoke/src/process/eventCatalogue.test.ts
+++ b/packages/sycamoreyoke/src/process/eventPage.test.ts
@@ -1,6 +1,6 @@
 import {readFileSync} from 'node:fs';
 import {expect} from 'chai';
-import {renderCatalogue} from './eventCatalogue.js';
+import {renderCatalogue} from './eventPage.js';
 
 // Guards against an event in the code that operators cannot look up.
 it('events: docs/events.md is the catalogue of the code', () => {
--- a/packages/sycamoreyoke/src/process/retryOrder.ts
+++ b/packages/sycamoreyoke/src/process/retryOrder.ts
@@ -10,6 +10,22 @@
   readonly spentShare: number;
 }
 
+/** Progress of a running request. */
+export interface RequestProgress {
+  readonly startedMs: number;
+  readonly answeredCalls: number;
+}
+
+/** Computes the work done for a running request with a deadline. */
+export function computeWorkDone(
+  {startedMs, answeredCalls}: RequestProgress,
+  deadlineMs: number,
+  nowMs: number,
+): WorkDone {
+  const spentShare = (nowMs - startedMs) / (deadlineMs - startedMs);
+  return {answeredCalls, spentShare};
+}
+
 /** Time constant of the decay of the counts. */
 const DECAY_MS = 1_000;
 /**
