Check an upstream's status when nobody can tell its past

All nodes may be killed right after one has acknowledged a leaving: no process and no row knows, and a delayed heartbeat gave the upstream work (31 bookings in 1.5 s).

A node that started after its upstream, and that no peer tells of its former process, sends one GET on the service's health-check-path when its start is complete. The upstream gets work after a 200 of the same instance. A peer that was linked to the former process says so with a notice without leavings, so the restart of one node needs no check.

The followers are created in a module of their own.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
 import {SendEnd} from 'sycamoreyoke/request/resend';
+import type {NodeProcess} from 'sycamoreyoke/process/linkedProcesses';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {
   ACCEPTED_SILENCE_MS,
@@ -63,7 +64,7 @@
   readonly listSuspects: () => readonly CrashSuspect[];
   readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
   /** Lists what a node has to know that has just been linked. */
-  readonly listNotices: (node: string) => readonly LeavingNotice[];
+  readonly listNotices: (process: NodeProcess) => readonly LeavingNotice[];
   readonly handleNotice: (notice: LeavingNotice) => void;
   /** Limits the bytes of incomplete frames of all links together. */
   readonly frameBudget: ByteBudget<FrameReader>;
@@ -227,7 +228,7 @@
           frame.node.service === this.parts.describeSelf().node.service;
         // Must precede the HELLO, after which the peer may count as started.
         this.sendSuspects(this.parts.listSuspects());
-        for (const notice of this.parts.listNotices(frame.node.node))
+        for (const notice of this.parts.listNotices(frame.node))
           this.sendNotice(notice);
         send({
           kind: FrameKind.HELLO,
--- a/packages/sidecar/src/connection/upstreamConnection.test.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.test.ts
@@ -45,6 +45,9 @@
     headers: [],
   }),
   buildUpstreamHeaders: () => [],
+  readStatusAnswer: () => {
+    throw new Error('not called');
+  },
   readUpstreamHead: () => ({
     requestId: 'r-1',
     isSealed: true,
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -117,6 +117,8 @@
  * answers.
  */
 export const UPSTREAM_CONNECT_TIMEOUT_MS = 600;
+/** Timeout of a status check, which the upstream answers without work. */
+export const STATUS_CHECK_TIMEOUT_MS = 1_000;
 /** Time for which an upstream counts as down after a refused connection. */
 export const UPSTREAM_DOWN_MS = 300;
 
--- a/packages/sidecar/src/process/fleetTask.test.ts
+++ b/packages/sidecar/src/process/fleetTask.test.ts
@@ -21,6 +21,7 @@
     decodeNode: (content) =>
       JSON.parse(Buffer.from(content).toString()) as NodeRecord,
     handleChange: () => undefined,
+    isLinked: () => false,
     handleRemoval: (node) => removedNodes.push(node),
   });
   return {task, store, removedNodes};
--- a/packages/sidecar/src/process/fleetTask.ts
+++ b/packages/sidecar/src/process/fleetTask.ts
@@ -27,6 +27,8 @@
   readonly encodeNode: (node: NodeRecord) => Uint8Array;
   readonly decodeNode: (content: Uint8Array) => NodeRecord | undefined;
   readonly handleChange: (nodes: readonly NodeRecord[]) => void;
+  /** Whether a node answers at the address of its known record. */
+  readonly isLinked: (node: string) => boolean;
   /** Called when this node removes the row of one that is gone. */
   readonly handleRemoval: (node: string) => void;
 }
@@ -211,9 +213,13 @@
     );
   }
 
-  /** Accepts what the restored store has: no owner has written since. */
+  /**
+   * Accepts what the restored store has, since no owner has written meanwhile.
+   * A node that is linked may not reach the store, and stays known.
+   */
   private settleRows(): void {
     for (const [name, row] of this.unsettledRows) {
+      if (this.parts.isLinked(name)) continue;
       if (row) this.applyRow(name, row.value);
       else this.nodes.delete(name);
     }
--- a/packages/sidecar/src/process/leavingTask.test.ts
+++ b/packages/sidecar/src/process/leavingTask.test.ts
@@ -28,6 +28,7 @@
   const clock = new VirtualClock();
   const own: UpstreamLeaving[] = [];
   const sent: LeavingNotice[] = [];
+  let told = 0;
   const store = new FakeStore();
   store.failuresLeft = failures;
   const task = new LeavingTask({
@@ -42,6 +43,8 @@
       JSON.parse(Buffer.from(content).toString()) as UpstreamLeaving[],
     listOwn: () => own,
     applyOwn: (leavings) => void own.push(...leavings),
+    recordTold: () => void (told += 1),
+    hasKnownFormer: ({incarnation}) => incarnation === 'second',
     sendNotice: (notice) => {
       sent.push(notice);
       return holders;
@@ -50,7 +53,11 @@
       if (!hasListener) handleNoListener();
     },
   });
-  return {task, clock, own, sent, store};
+  return {task, clock, own, sent, store, countTold: () => told};
+}
+
+function createProcess(node: string, incarnation = 'first') {
+  return {node, incarnation};
 }
 
 /** Writes a row as another process does; returns it as a change. */
@@ -127,10 +134,10 @@
   const {task, clock} = createTask();
   const notice = {node: 'a', leavings: [LEAVING]};
   task.handleNotice(notice);
-  expect(task.listNotices('b')).to.deep.equal([]);
-  expect(task.listNotices('a')).to.deep.equal([notice]);
+  expect(task.listNotices(createProcess('b'))).to.deep.equal([]);
+  expect(task.listNotices(createProcess('a'))).to.deep.equal([notice]);
   clock.advance(OLD_MS);
-  expect(task.listNotices('a')).to.deep.equal([]);
+  expect(task.listNotices(createProcess('a'))).to.deep.equal([]);
 });
 
 // Guards against a restarted node that does not use what others and the store
@@ -141,7 +148,7 @@
   expect(own).to.deep.equal([LEAVING]);
   task.handleRows([writeRow(store, [{...LEAVING, instance: 'i-0'}])]);
   expect(own.map(({instance}) => instance)).to.deep.equal(['i-1', 'i-0']);
-  expect(task.listNotices('b')).to.have.lengthOf(1);
+  expect(task.listNotices(createProcess('b'))).to.have.lengthOf(1);
   own.splice(0);
   task.handleUpstreamChange();
   await waitFor(() => store.read(OWN_ROW) === undefined);
@@ -210,3 +217,16 @@
   task.handleRows([store.remove(OWN_ROW)]);
   await waitFor(() => readOwnRow(store) !== '');
 });
+
+// Guards against a status check of an upstream although a peer knows that the
+// former process of its node has announced no leaving.
+it('leaving task: tells a successor that nothing was announced', () => {
+  const {task} = createTask();
+  expect(task.listNotices(createProcess('a', 'second'))).to.deep.equal([
+    {node: 'a', leavings: []},
+  ]);
+  expect(task.listNotices(createProcess('a', 'first'))).to.deep.equal([]);
+  const other = createTask();
+  other.task.handleNotice({node: 'self', leavings: []});
+  expect([other.own, other.countTold()]).to.deep.equal([[], 1]);
+});
--- a/packages/sidecar/src/process/leavingTask.ts
+++ b/packages/sidecar/src/process/leavingTask.ts
@@ -10,6 +10,7 @@
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import {MAX_LEAVINGS} from 'sycamoreyoke/process/upstreamLeavings';
 import type {StorePosition} from 'sycamoreyoke/process/storePosition';
+import type {NodeProcess} from 'sycamoreyoke/process/linkedProcesses';
 import type {Random} from 'sycamoreyoke/random';
 import {STORE_RETRY_MAX_MS} from '../constants.js';
 import type {FleetStore, LeavingNotice, StoredRow} from '../types.js';
@@ -30,6 +31,10 @@
   readonly listOwn: () => readonly UpstreamLeaving[];
   /** Applies leavings that an earlier process of the node acknowledged. */
   readonly applyOwn: (leavings: readonly UpstreamLeaving[]) => void;
+  /** Called when a peer knew what the node's former process was told. */
+  readonly recordTold: () => void;
+  /** Whether this node was linked to the process before the given one. */
+  readonly hasKnownFormer: (process: NodeProcess) => boolean;
   /** Sends a notice to the linked nodes; returns how many keep it. */
   readonly sendNotice: (notice: LeavingNotice) => number;
   /** Calls back if nothing listens at the upstream's address any more. */
@@ -99,16 +104,23 @@
     if (holders === 0 || this.isStopping) this.scheduleWrite();
   }
 
-  /** Lists what a node has to know that has just been linked. */
-  listNotices(peer: string): readonly LeavingNotice[] {
+  /**
+   * Lists what a node has to know that has just been linked. A notice without
+   * leavings says that its former process had announced none to this node.
+   */
+  listNotices(process: NodeProcess): readonly LeavingNotice[] {
     const {node, clock} = this.parts;
     const leavings = this.parts.listOwn();
+    const {node: peer} = process;
     const kept = this.notices.get(peer);
     const isKept =
       kept !== undefined && clock.readMs() - kept.learnedMs < NOTICE_MEMORY_MS;
     return [
       ...(leavings.length > 0 ? [{node, leavings}] : []),
       ...(isKept ? [{node: peer, leavings: kept.leavings}] : []),
+      ...(!isKept && this.parts.hasKnownFormer(process)
+        ? [{node: peer, leavings: []}]
+        : []),
     ];
   }
 
@@ -116,6 +128,7 @@
   handleNotice({node, leavings}: LeavingNotice): void {
     if (node === this.parts.node) {
       this.parts.applyOwn(leavings);
+      this.parts.recordTold();
       return;
     }
     this.notices.delete(node);
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
 import {systemClock} from '@sycamoreyoke/node/process/systemClock';
 import {expect} from 'chai';
+import {LinkedProcesses} from 'sycamoreyoke/process/linkedProcesses';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import {
   HOST,
@@ -67,6 +68,7 @@
     handleActivity: () => undefined,
     listSuspects: () => [],
     handleSuspects: () => undefined,
+    linked: new LinkedProcesses(systemClock),
     listNotices: () => [],
     handleNotice: () => undefined,
     frameBudget: createFrameBudget(),
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -1,5 +1,9 @@
 /** Manages the links to other nodes and chooses the node for each call. */
 import type {Clock} from 'sycamoreyoke/clock';
+import type {
+  LinkedProcesses,
+  NodeProcess,
+} from 'sycamoreyoke/process/linkedProcesses';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
@@ -58,8 +62,9 @@
   readonly handleReplacedNode: (node: NodeRecord) => void;
   readonly listSuspects: () => readonly CrashSuspect[];
   readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
+  readonly linked: LinkedProcesses;
   /** Lists what a node has to know that has just been linked. */
-  readonly listNotices: (node: string) => readonly LeavingNotice[];
+  readonly listNotices: (process: NodeProcess) => readonly LeavingNotice[];
   readonly handleNotice: (notice: LeavingNotice) => void;
   /** Whether to ask peers for the node list, as the store is unreachable. */
   readonly needsNodes: () => boolean;
@@ -198,6 +203,10 @@
     );
   }
 
+  isLinked(node: string): boolean {
+    return this.links.get(node)?.isOpen() ?? false;
+  }
+
   /** Lists the services that have at least one node with an open link. */
   listLinkedServices(): ReadonlySet<string> {
     const open = [...this.links.values()].filter((link) => link.isOpen());
@@ -287,6 +296,7 @@
 
   private closeLink(name: string, link: PeerLink): void {
     link.retire();
+    this.parts.linked.recordDown(link.node);
     if (!link.isEnded()) this.retiredLinks.add(link);
     this.links.delete(name);
     this.meanTimes.delete(name);
@@ -308,9 +318,10 @@
       if (node.service === this.parts.self.service) {
         sendSuspectsTo(link, this.parts.listSuspects());
       }
-      for (const notice of this.parts.listNotices(node.node)) {
+      for (const notice of this.parts.listNotices(node)) {
         link.sendOptional({kind: FrameKind.LEAVINGS, notice});
       }
+      this.parts.linked.recordUp(node);
       if (this.parts.needsNodes()) link.write({kind: FrameKind.GET_NODES});
     },
     handleFrame: (_link, frame) => {
@@ -331,6 +342,7 @@
       });
     },
     handleDown: (link, message) => {
+      this.parts.linked.recordDown(link.node);
       this.parts.record(EventCode.LINK_DOWN, {
         node: link.node.node,
         service: link.node.service,
--- a/packages/sidecar/src/process/upstreamTask.test.ts
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -35,8 +35,12 @@
       readUpstreamHead: () => {
         throw new Error('not called');
       },
+      readStatusAnswer: () => {
+        throw new Error('not called');
+      },
     },
     presence: new UpstreamPresence(systemClock),
+    status: {hasKnownPast: () => true, observeHeartbeat: () => undefined},
     callParents: new CallParents(),
     pool: new UpstreamPool(
       {host: HOST, port},
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -35,6 +35,7 @@
 import type {GateRefusal} from './gateRefusal.js';
 import {NODE_STOPPING_REFUSAL, createRefusal} from './gateRefusal.js';
 import {SlotLimiter} from './slotLimiter.js';
+import type {StatusCheck} from './statusCheck.js';
 import type {CrashObserver} from './upstreamHealth.js';
 import {UpstreamHealth} from './upstreamHealth.js';
 import {recordPresence, recordRefusal, recordRun} from './upstreamLog.js';
@@ -49,6 +50,7 @@
   readonly clock: Clock;
   readonly wire: WireProtocol;
   readonly presence: UpstreamPresence;
+  readonly status: Pick<StatusCheck, 'hasKnownPast' | 'observeHeartbeat'>;
   readonly callParents: CallParents;
   readonly pool: UpstreamPool;
   readonly crashes: CrashGuard;
@@ -121,7 +123,7 @@
   describeLoad(): UpstreamLoad {
     const upstream = this.parts.presence.read();
     return {
-      isAvailable: upstream !== undefined && !this.health.isDown(),
+      isAvailable: upstream !== undefined && this.isUp(),
       isDraining: upstream?.drainingSinceMs !== undefined,
       limit: this.gate.readLimit(),
       running: this.gate.countRunning(),
@@ -169,6 +171,7 @@
       this.parts.pool.close();
     }
     this.limiter.update(slots);
+    this.parts.status.observeHeartbeat(heartbeat, change);
     if (change !== PresenceChange.NONE) {
       recordPresence(this.parts.record, change, instance, slots);
       this.parts.handleChange();
@@ -241,7 +244,7 @@
     const {isRefused, retryAfterMs} = this.parts.crashes.check(call);
     if (isRefused) return createRefusal(GateReason.CRASHING, retryAfterMs);
     const upstream = this.parts.presence.read();
-    if (!upstream || this.health.isDown()) {
+    if (!upstream || !this.isUp()) {
       return createRefusal(GateReason.UPSTREAM_DOWN);
     }
     return this.hasTimeBeforeDrainEnd(upstream.drainingSinceMs)
@@ -249,6 +252,10 @@
       : createRefusal(GateReason.DRAINING);
   }
 
+  private isUp(): boolean {
+    return !this.health.isDown() && this.parts.status.hasKnownPast();
+  }
+
   private hasTimeBeforeDrainEnd(drainingSinceMs: number | undefined): boolean {
     if (drainingSinceMs === undefined) return true;
     const drainedMs = this.parts.clock.readMs() - drainingSinceMs;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -64,6 +64,7 @@
     const timer = setInterval(() => {
       if (!this.parts.checkStarted()) return;
       clearInterval(timer);
+      this.parts.status.run();
       this.parts.peerServer.announceReport();
     }, START_POLL_MS);
   }
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -139,6 +139,15 @@
   readonly isOtherInstance: boolean;
 }
 
+/** What an adapter reads from the answer to a status check. */
+export interface StatusAnswer {
+  /** Whether the upstream is healthy and not leaving. */
+  readonly isServing: boolean;
+  /** Whether it refused the check like any other request. */
+  readonly isNotRun: boolean;
+  readonly instance: string | undefined;
+}
+
 /** What the node tells the upstream about a request, in headers. */
 export interface UpstreamAdditions {
   readonly requestId: string;
@@ -154,6 +163,7 @@
   readClientHead(headers: HeaderList): ClientHead;
   buildUpstreamHeaders(additions: UpstreamAdditions): HeaderList;
   readUpstreamHead(status: number, headers: HeaderList): UpstreamHead;
+  readStatusAnswer(status: number, headers: HeaderList): StatusAnswer;
 }
 
 /** Decodes stored configuration; throws a ValidationError if it is invalid. */
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -6,6 +6,7 @@
 import {EventCode} from 'sycamoreyoke/process/events';
 import {QUIET_DECAY_MS} from 'sycamoreyoke/process/downstreamThrottle';
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
+import {LinkedProcesses} from 'sycamoreyoke/process/linkedProcesses';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
 import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
@@ -14,12 +15,7 @@
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import type {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
-import {
-  chooseWatchMs,
-  computeListPauseMs,
-  computeMeanWatchMs,
-  isChosenToQuery,
-} from 'sycamoreyoke/process/watchTime';
+import {isChosenToQuery} from 'sycamoreyoke/process/watchTime';
 import type {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Random} from 'sycamoreyoke/random';
 import {CallParents} from 'sycamoreyoke/process/callParents';
@@ -30,11 +26,7 @@
 import {PeerServer} from './connection/peerServer.js';
 import type {UpstreamPool} from './connection/upstreamPool.js';
 import {TOKENS, createContainer} from './container.js';
-import {
-  GATE_QUEUE_LIMIT,
-  NODES_WATCH_MEAN_MS,
-  ASSUMED_NODES,
-} from './constants.js';
+import {GATE_QUEUE_LIMIT, ASSUMED_NODES} from './constants.js';
 import {
   ConfigurationSource,
   ConfigurationTask,
@@ -49,7 +41,9 @@
 import {computeMemoryLimits} from './process/memoryLimits.js';
 import {NodeRows} from './process/nodeRows.js';
 import {PeerTask} from './process/peerTask.js';
-import {StoreFollower} from './process/storeFollower.js';
+import {StatusCheck} from './process/statusCheck.js';
+import type {StoreFollower} from './process/storeFollower.js';
+import {createStoreFollowers} from './process/storeFollowers.js';
 import {UpstreamTask} from './process/upstreamTask.js';
 import {OriginHandler} from './request/originHandler.js';
 import type {
@@ -61,7 +55,6 @@
   SidecarSettings,
   WireProtocol,
 } from './types.js';
-import {StoreTable} from './types.js';
 
 /** Settings, protocols and codecs that an adapter provides. */
 export interface SidecarAdapter {
@@ -87,6 +80,7 @@
   readonly record: EventRecorder;
   readonly metrics: Metrics;
   readonly upstream: UpstreamTask;
+  readonly status: StatusCheck;
   readonly crashes: CrashTask;
   readonly leavings: LeavingTask;
   readonly origin: OriginHandler;
@@ -177,9 +171,29 @@
     decodeLeavings: adapter.decodeLeavings,
     listOwn: () => presence.listLeavings(),
     applyOwn: (learned) => upstream.mergeLeavings(learned),
+    recordTold: () => status.recordTold(),
+    hasKnownFormer: (process) => linked.hasKnownFormer(process),
     sendNotice: (notice) => peerServer.sendNotice(notice),
     probeUpstream: (handleNoListener) => pool.probe(handleNoListener),
   });
+  const linked = new LinkedProcesses(clock);
+  const handleUpstreamChange = () => {
+    peerServer.announceReport();
+    leavings.handleUpstreamChange();
+  };
+  const status: StatusCheck = new StatusCheck({
+    clock,
+    nodeStartedAtMs: performance.timeOrigin,
+    upstream: settings.upstream,
+    wire,
+    pool,
+    record,
+    isStarted: () => checkStarted(),
+    readPath: () =>
+      configuration.read()?.table.services.get(settings.service)
+        ?.statusCheckPath,
+    handleChange: handleUpstreamChange,
+  });
   const upstream: UpstreamTask = new UpstreamTask({
     service: settings.service,
     get drainMs() {
@@ -188,6 +202,7 @@
     clock,
     wire,
     presence,
+    status,
     callParents: new CallParents(),
     pool,
     crashes,
@@ -202,10 +217,7 @@
     },
     report,
     record,
-    handleChange: () => {
-      peerServer.announceReport();
-      leavings.handleUpstreamChange();
-    },
+    handleChange: handleUpstreamChange,
   });
   const startedMs = clock.readMs();
   let hasStarted = false;
@@ -257,7 +269,8 @@
     handleReplacedNode: (node) => fleet.removeNode(node),
     listSuspects: () => crashes.listSuspects(),
     handleSuspects: (suspects) => crashes.merge(suspects),
-    listNotices: (node) => leavings.listNotices(node),
+    linked,
+    listNotices: (process) => leavings.listNotices(process),
     handleNotice: (notice) => leavings.handleNotice(notice),
     needsNodes: () => !nodeFollower.hasContact(),
     handleActivity: () => loop.observe(),
@@ -271,6 +284,7 @@
     encodeNode: adapter.encodeNode,
     decodeNode: adapter.decodeNode,
     handleChange: (nodes) => peers.update(nodes),
+    isLinked: (node) => peers.isLinked(node),
     handleRemoval: (node) => void leavings.removeRow(node),
   });
   const peerServer: PeerServer = new PeerServer({
@@ -286,7 +300,7 @@
       configuration.adopt(content, ConfigurationSource.PEER),
     listSuspects: () => crashes.listSuspects(),
     handleSuspects: (suspects) => crashes.merge(suspects),
-    listNotices: (node) => leavings.listNotices(node),
+    listNotices: (process) => leavings.listNotices(process),
     handleNotice: (notice) => leavings.handleNotice(notice),
     readConfiguration: () => configuration.read()?.content,
     listNodes: () => fleet.list(),
@@ -294,35 +308,17 @@
       record(EventCode.MESSAGE_MALFORMED, {source: 'peer', message}),
     frameBudget,
   });
-  const configurationFollower: StoreFollower = new StoreFollower({
-    clock,
-    store,
-    table: StoreTable.CONFIGURATION,
-    record,
-    handleAllRows: ({rows}) => configuration.handleRows(rows),
-    handleChangedRows: (rows) => configuration.handleRows(rows),
-    choosePauseMs: () => 0,
-    chooseWaitMs: () =>
-      chooseWatchMs(random, computeMeanWatchMs(fleet.list().length)),
-    handleSilence: () => peers.probeAll(),
-  });
-  const nodeRows = new NodeRows({fleet, crashes, leavings});
-  const nodeFollower: StoreFollower = new StoreFollower({
+  const followers = createStoreFollowers({
     clock,
+    random,
     store,
-    table: StoreTable.NODES,
     record,
-    handleAllRows: (batch) => nodeRows.handleAllRows(batch),
-    handleChangedRows: (rows) => nodeRows.handleChangedRows(rows),
-    choosePauseMs: (changesInARow) =>
-      computeListPauseMs(fleet.list().length, changesInARow),
-    chooseWaitMs: () => chooseWatchMs(random, NODES_WATCH_MEAN_MS),
+    configuration,
+    nodeRows: new NodeRows({fleet, crashes, leavings}),
+    countNodes: () => fleet.list().length,
     handleSilence: () => peers.probeAll(),
   });
-  const followers = [configurationFollower, nodeFollower];
-  store.subscribeToEras((era) => {
-    for (const follower of followers) follower.handleEra(era);
-  });
+  const [configurationFollower, nodeFollower] = followers;
 
   const budgets = new Map<string, RetryAllowance>();
   /** Until the list is read, a node may know only itself. */
@@ -387,6 +383,7 @@
     record,
     metrics,
     upstream,
+    status,
     crashes,
     leavings,
     origin,
--- a/packages/sycamoreyoke/src/version/routeTable.ts
+++ b/packages/sycamoreyoke/src/version/routeTable.ts
@@ -45,6 +45,8 @@
 export interface ServiceDefinition {
   readonly name: string;
   readonly maxConnections: number;
+  /** Path at which an upstream tells whether it serves, if it has one. */
+  readonly statusCheckPath: string | undefined;
 }
 
 /** Routes, services and client limits of one configuration version. */
