--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -37,6 +37,7 @@
 import {NODE_STOPPING_REFUSAL, createRefusal} from './gateRefusal.js';
 import type {ParentCall, ParentRequest} from './parentCall.js';
 import {SlotLimiter} from './slotLimiter.js';
+import type {StatusCheck} from './statusCheck.js';
 import type {CrashObserver} from './upstreamHealth.js';
 import {UpstreamHealth} from './upstreamHealth.js';
 import {recordPresence, recordRefusal, recordRun} from './upstreamLog.js';
@@ -51,6 +52,7 @@
   readonly clock: Clock;
   readonly wire: WireProtocol;
   readonly presence: UpstreamPresence;
+  readonly status: Pick<StatusCheck, 'hasKnownPast' | 'observeHeartbeat'>;
   readonly callParents: CallParents;
   readonly pool: UpstreamPool;
   readonly crashes: CrashGuard;
@@ -117,7 +119,7 @@
   describeLoad(): UpstreamLoad {
     const upstream = this.parts.presence.read();
     return {
-      isAvailable: upstream !== undefined && !this.health.isDown(),
+      isAvailable: upstream !== undefined && this.isUp(),
       isDraining: upstream?.drainingSinceMs !== undefined,
       limit: this.gate.readLimit(),
       running: this.gate.countRunning(),
@@ -191,6 +193,7 @@
     if (change === PresenceChange.STARTED && heartbeat.coldMs > 0) {
       this.startPace('started');
     }
+    this.parts.status.observeHeartbeat(heartbeat, change);
     if (change !== PresenceChange.NONE) {
       recordPresence(this.parts.record, change, instance, slots);
       this.parts.handleChange();
@@ -264,7 +267,7 @@
     const {isRefused, retryAfterMs} = this.parts.crashes.check(call);
     if (isRefused) return createRefusal(GateReason.CRASHING, retryAfterMs);
     const upstream = this.parts.presence.read();
-    if (!upstream || this.health.isDown()) {
+    if (!upstream || !this.isUp()) {
       return createRefusal(GateReason.UPSTREAM_DOWN);
     }
     return this.hasTimeBeforeDrainEnd(upstream.drainingSinceMs)
@@ -272,6 +275,10 @@
       : createRefusal(GateReason.DRAINING);
   }
 
+  private isUp(): boolean {
+    return !this.health.isDown() && this.parts.status.hasKnownPast();
+  }
+
   private hasTimeBeforeDrainEnd(drainingSinceMs: number | undefined): boolean {
     if (drainingSinceMs === undefined) return true;
     const drainedMs = this.parts.clock.readMs() - drainingSinceMs;
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -6,18 +6,14 @@
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import {GOODPUT_PARAMETERS} from 'sycamoreyoke/process/gateParameters';
+import {LinkedProcesses} from 'sycamoreyoke/process/linkedProcesses';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
 import {isStarted} from 'sycamoreyoke/process/startPhase';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import type {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
-import {
-  chooseWatchMs,
-  computeListPauseMs,
-  computeMeanWatchMs,
-  isChosenToQuery,
-} from 'sycamoreyoke/process/watchTime';
+import {isChosenToQuery} from 'sycamoreyoke/process/watchTime';
 import type {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Random} from 'sycamoreyoke/random';
 import {CallParents} from 'sycamoreyoke/process/callParents';
@@ -28,11 +24,7 @@
 import {SegmentPool} from './connection/segmentList.js';
 import type {UpstreamPool} from './connection/upstreamPool.js';
 import {TOKENS, createContainer} from './container.js';
-import {
-  GATE_QUEUE_LIMIT,
-  NODES_WATCH_MEAN_MS,
-  ASSUMED_NODES,
-} from './constants.js';
+import {GATE_QUEUE_LIMIT, ASSUMED_NODES} from './constants.js';
 import {
   ConfigurationSource,
   ConfigurationTask,
@@ -50,7 +42,9 @@
 import {NodeRows} from './process/nodeRows.js';
 import {PeerTask} from './process/peerTask.js';
 import {createRetryBudgets} from './process/retryBudgets.js';
-import {StoreFollower} from './process/storeFollower.js';
+import {StatusCheck} from './process/statusCheck.js';
+import type {StoreFollower} from './process/storeFollower.js';
+import {createStoreFollowers} from './process/storeFollowers.js';
 import {UpstreamTask} from './process/upstreamTask.js';
 import {BeginCheck} from './request/beginCheck.js';
 import {OriginHandler} from './request/originHandler.js';
@@ -63,7 +57,6 @@
   SidecarSettings,
   WireProtocol,
 } from './types.js';
-import {StoreTable} from './types.js';
 
 /** Settings, protocols and codecs that an adapter provides. */
 export interface SidecarAdapter {
@@ -89,6 +82,7 @@
   readonly record: EventRecorder;
   readonly metrics: Metrics;
   readonly upstream: UpstreamTask;
+  readonly status: StatusCheck;
   readonly crashes: CrashTask;
   readonly leavings: LeavingTask;
   readonly origin: OriginHandler;
@@ -179,9 +173,29 @@
     decodeLeavings: adapter.decodeLeavings,
     listOwn: () => presence.listLeavings(),
     applyOwn: (learned) => upstream.mergeLeavings(learned),
+    recordTold: () => status.recordTold(),
+    hasKnownFormer: (process) => linked.hasKnownFormer(process),
     sendNotice: (notice) => peerServer.sendNotice(notice),
     probeUpstream: (handleNoListener) => pool.probe(handleNoListener),
   });
+  const linked = new LinkedProcesses(clock);
+  const handleUpstreamChange = () => {
+    peerServer.announceReport();
+    leavings.handleUpstreamChange();
+  };
+  const status: StatusCheck = new StatusCheck({
+    clock,
+    nodeStartedAtMs: performance.timeOrigin,
+    upstream: settings.upstream,
+    wire,
+    pool,
+    record,
+    isStarted: () => checkStarted(),
+    readPath: () =>
+      configuration.read()?.table.services.get(settings.service)
+        ?.statusCheckPath,
+    handleChange: handleUpstreamChange,
+  });
   const upstream: UpstreamTask = new UpstreamTask({
     service: settings.service,
     get drainMs() {
@@ -190,6 +204,7 @@
     clock,
     wire,
     presence,
+    status,
     callParents: new CallParents(),
     pool,
     crashes,
@@ -203,10 +218,7 @@
     },
     report,
     record,
-    handleChange: () => {
-      peerServer.announceReport();
-      leavings.handleUpstreamChange();
-    },
+    handleChange: handleUpstreamChange,
   });
   const startedMs = clock.readMs();
   let hasStarted = false;
@@ -256,7 +268,8 @@
     handleReplacedNode: (node) => fleet.removeNode(node),
     listSuspects: () => crashes.listSuspects(),
     handleSuspects: (suspects) => crashes.merge(suspects),
-    listNotices: (node) => leavings.listNotices(node),
+    linked,
+    listNotices: (process) => leavings.listNotices(process),
     handleNotice: (notice) => leavings.handleNotice(notice),
     needsNodes: () => !nodeFollower.hasContact(),
     handleActivity: () => loop.observe(),
@@ -270,6 +283,7 @@
     encodeNode: adapter.encodeNode,
     decodeNode: adapter.decodeNode,
     handleChange: (nodes) => peers.update(nodes),
+    isLinked: (node) => peers.isLinked(node),
     handleRemoval: (node) => void leavings.removeRow(node),
   });
   const peerServer: PeerServer = new PeerServer({
@@ -285,7 +299,7 @@
       configuration.adopt(content, ConfigurationSource.PEER),
     listSuspects: () => crashes.listSuspects(),
     handleSuspects: (suspects) => crashes.merge(suspects),
-    listNotices: (node) => leavings.listNotices(node),
+    listNotices: (process) => leavings.listNotices(process),
     handleNotice: (notice) => leavings.handleNotice(notice),
     readConfiguration: () => configuration.read()?.content,
     listNodes: () => fleet.list(),
@@ -293,35 +307,17 @@
       record(EventCode.MESSAGE_MALFORMED, {source: 'peer', message}),
     held,
   });
-  const configurationFollower: StoreFollower = new StoreFollower({
-    clock,
-    store,
-    table: StoreTable.CONFIGURATION,
-    record,
-    handleAllRows: ({rows}) => configuration.handleRows(rows),
-    handleChangedRows: (rows) => configuration.handleRows(rows),
-    choosePauseMs: () => 0,
-    chooseWaitMs: () =>
-      chooseWatchMs(random, computeMeanWatchMs(fleet.list().length)),
-    handleSilence: () => peers.probeAll(),
-  });
-  const nodeRows = new NodeRows({fleet, crashes, leavings});
-  const nodeFollower: StoreFollower = new StoreFollower({
+  const followers = createStoreFollowers({
     clock,
+    random,
     store,
-    table: StoreTable.NODES,
     record,
-    handleAllRows: (batch) => nodeRows.handleAllRows(batch),
-    handleChangedRows: (rows) => nodeRows.handleChangedRows(rows),
-    choosePauseMs: (changesInARow) =>
-      computeListPauseMs(fleet.list().length, changesInARow),
-    chooseWaitMs: () => chooseWatchMs(random, NODES_WATCH_MEAN_MS),
+    configuration,
+    nodeRows: new NodeRows({fleet, crashes, leavings}),
+    countNodes: () => fleet.list().length,
     handleSilence: () => peers.probeAll(),
   });
-  const followers = [configurationFollower, nodeFollower];
-  store.subscribeToEras((era) => {
-    for (const follower of followers) follower.handleEra(era);
-  });
+  const [configurationFollower, nodeFollower] = followers;
 
   /** Until the list is read, a node may know only itself. */
   const countNodes = () =>
@@ -382,6 +378,7 @@
     record,
     metrics,
     upstream,
+    status,
     crashes,
     leavings,
     origin,
