Log when a gate or an origin begins and ceases to throttle

Cause: GATE_REFUSED with reason overloaded does not say whether a queue or the throttle refused, and the start of a throttle had no line.

Change: event THROTTLE_CHANGED with the place (gate or origin) and the route.

Result: a fault, its end and a relapse give three lines (downstreamThrottle.test.ts); the catalogue test passes.

--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -105,6 +105,12 @@
       limiter: this.limiter,
       parameters: parts.parameters,
       report: parts.report,
+      handleThrottleChange: (kind, isThrottled) =>
+        parts.record(EventCode.THROTTLE_CHANGED, {
+          place: 'gate',
+          kind,
+          isThrottled,
+        }),
     });
     this.health = new UpstreamHealth({
       get drainMs() {
--- a/packages/sidecar/src/request/beginCheck.ts
+++ b/packages/sidecar/src/request/beginCheck.ts
@@ -39,11 +39,19 @@
 
 /** Applies the admission of the library at the origin. */
 export class BeginCheck {
-  private readonly admission = new OriginAdmission();
+  private readonly admission: OriginAdmission;
   private readonly returns = new ReturnSchedule();
   private readonly promises = new PromisedReturns();
 
-  constructor(private readonly parts: BeginCheckParts) {}
+  constructor(private readonly parts: BeginCheckParts) {
+    this.admission = new OriginAdmission((kind, isThrottled) =>
+      parts.record(EventCode.THROTTLE_CHANGED, {
+        place: 'origin',
+        kind,
+        isThrottled,
+      }),
+    );
+  }
 
   /** Returns the retry delay, ms, of a request that is not begun. */
   check(request: CheckedRequest): number | undefined {
--- a/packages/sycamoreyoke/src/process/downstreamThrottle.test.ts
+++ b/packages/sycamoreyoke/src/process/downstreamThrottle.test.ts
@@ -35,7 +35,10 @@
 
 /** Runs 20 requests of 0.3 s per second; returns who was admitted when. */
 function runPhases(hasFault: (nowMs: number) => boolean, endMs: number) {
-  const throttle = new DownstreamThrottle(GATE_THROTTLE);
+  const changes: boolean[] = [];
+  const throttle = new DownstreamThrottle(GATE_THROTTLE, (_kind, isThrottled) =>
+    changes.push(isThrottled),
+  );
   const running: Array<{startedMs: number; finishedMs: number}> = [];
   const admittedMs: number[] = [];
   for (let nowMs = 0; nowMs < endMs; nowMs += 50) {
@@ -48,7 +51,7 @@
     admittedMs.push(nowMs);
     running.push({startedMs: nowMs, finishedMs: nowMs + 300});
   }
-  return {throttle, admittedMs};
+  return {throttle, admittedMs, changes};
 }
 
 // Guards against a throttle that stays open when the fault returns, because
@@ -56,12 +59,13 @@
 it('downstream throttle: closes again on a relapse', () => {
   const hasFault = (nowMs: number) =>
     (nowMs >= 2_000 && nowMs < 6_000) || nowMs >= 9_000;
-  const {throttle, admittedMs} = runPhases(hasFault, 14_000);
+  const {throttle, admittedMs, changes} = runPhases(hasFault, 14_000);
   const count = (fromMs: number, toMs: number) =>
     admittedMs.filter((ms) => ms >= fromMs && ms < toMs).length;
   expect(count(7_500, 9_000)).to.equal(30);
   expect(count(11_000, 14_000)).to.be.at.most(20);
   expect(throttle.listThrottled(14_000).map(({kind}) => kind)).to.eql(['page']);
+  expect(changes).to.eql([true, false, true]);
 });
 
 // Guards against a kind that is refused long after its last result.
--- a/packages/sycamoreyoke/src/process/downstreamThrottle.ts
+++ b/packages/sycamoreyoke/src/process/downstreamThrottle.ts
@@ -47,6 +47,7 @@
 }
 
 interface KindState {
+  readonly kind: string;
   /** Admitted share; 1 while the kind is not throttled. */
   share: number;
   /** Since when the share is the same. */
@@ -112,6 +113,12 @@
   readonly share: number;
 }
 
+/** Called when a kind begins or ceases to be throttled. */
+export type ThrottleChangeHandler = (
+  kind: string,
+  isThrottled: boolean,
+) => void;
+
 /** Result of a request that ran. */
 export interface ThrottleResult {
   readonly kind: string;
@@ -137,7 +144,10 @@
 export class DownstreamThrottle {
   private readonly kinds = new Map<string, KindState>();
 
-  constructor(private readonly parameters: ThrottleParameters) {}
+  constructor(
+    private readonly parameters: ThrottleParameters,
+    private readonly handleChange: ThrottleChangeHandler = () => undefined,
+  ) {}
 
   /** Records the result of a request that ran. */
   observe({kind, succeeded, startedMs, nowMs}: ThrottleResult): void {
@@ -181,7 +191,7 @@
     if (state.share < 1) return;
     state.failingShare = 1;
     state.growth = SLOW_GROWTH;
-    setShare(state, MIN_ADMITTED_SHARE, nowMs);
+    this.setShare(state, MIN_ADMITTED_SHARE, nowMs);
   }
 
   /** Makes the next request of the kind a probe. */
@@ -236,7 +246,7 @@
     const {headroom, minResults, minResultsToClose} = this.parameters;
     if (this.isEndOfFault(state)) {
       state.shareOfProbes = undefined;
-      setShare(state, 1, nowMs);
+      this.setShare(state, 1, nowMs);
       return;
     }
     const results = round.succeeded + round.failed;
@@ -276,7 +286,7 @@
       state.failingShare = state.share;
       state.shareOfProbes = undefined;
       const share = state.share * this.parameters.headroom * succeededShare;
-      setShare(state, Math.max(MIN_ADMITTED_SHARE, share), nowMs);
+      this.setShare(state, Math.max(MIN_ADMITTED_SHARE, share), nowMs);
       return;
     }
     state.shareOfProbes =
@@ -293,19 +303,30 @@
     const admitted = Math.max(state.share, round.admitted / round.offered || 0);
     const safeShare = SAFE_PART * failingShare;
     if (succeededShare < CLEAN_SHARE) {
-      setShare(
+      this.setShare(
         state,
         admitted * this.parameters.headroom * succeededShare,
         nowMs,
       );
     } else if (admitted < safeShare) {
-      setShare(state, Math.min(FAST_GROWTH * admitted, safeShare), nowMs);
+      this.setShare(state, Math.min(FAST_GROWTH * admitted, safeShare), nowMs);
     } else {
-      setShare(state, admitted * state.growth, nowMs);
+      this.setShare(state, admitted * state.growth, nowMs);
       state.growth *= state.growth;
     }
   }
 
+  private setShare(state: KindState, share: number, nowMs: number): void {
+    const wasThrottled = state.share < 1;
+    state.share = Math.min(1, share);
+    state.sharedSinceMs = nowMs;
+    state.round = createRound(nowMs);
+    const isThrottled = state.share < 1;
+    if (isThrottled !== wasThrottled) {
+      this.handleChange(state.kind, isThrottled);
+    }
+  }
+
   private isRecent(state: KindState, nowMs: number): boolean {
     const {lastResultMs, resultMs} = state;
     const evidenceMs = EVIDENCE_PROBES * this.parameters.probeIntervalMs;
@@ -315,7 +336,9 @@
   private readState(kind: string, nowMs: number): KindState {
     const known = this.kinds.get(kind);
     if (known && this.isRecent(known, nowMs)) return known;
+    if (known && known.share < 1) this.handleChange(kind, false);
     const state: KindState = {
+      kind,
       share: 1,
       sharedSinceMs: nowMs,
       round: createRound(nowMs),
@@ -341,12 +364,6 @@
   return share <= MIN_ADMITTED_SHARE || (share < 1 && mostlyProbes);
 }
 
-function setShare(state: KindState, share: number, nowMs: number): void {
-  state.share = Math.min(1, share);
-  state.sharedSinceMs = nowMs;
-  state.round = createRound(nowMs);
-}
-
 function createRound(startedMs: number): Round {
   return {
     startedMs,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -317,6 +317,12 @@
     'An earlier process of this node has acknowledged that upstreams leave.',
     'instances',
   ),
+  [EventCode.THROTTLE_CHANGED]: describe(
+    'A route begins or ceases to be admitted only in part, since its requests fail further down.',
+    'place: gate or origin',
+    'kind: route',
+    'isThrottled',
+  ),
   [EventCode.PLATFORM_UNAVAILABLE]: describe(
     "The platform's service stopped answering.",
     'service',
--- a/packages/sycamoreyoke/src/process/gate.ts
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -5,6 +5,7 @@
 import {Importance, RefusalReason} from '../types.js';
 import type {QueueState} from './admissionEstimate.js';
 import {AdmissionEstimate} from './admissionEstimate.js';
+import type {ThrottleChangeHandler} from './downstreamThrottle.js';
 import {DownstreamThrottle, GATE_THROTTLE} from './downstreamThrottle.js';
 import type {GateParameters} from './gateParameters.js';
 import type {ConcurrencyLimiter} from './limiter.js';
@@ -42,6 +43,7 @@
   readonly limiter: ConcurrencyLimiter;
   readonly parameters: GateParameters;
   readonly report: InvariantReporter;
+  readonly handleThrottleChange?: ThrottleChangeHandler;
 }
 
 interface RunningRequest {
@@ -72,7 +74,7 @@
   constructor(private readonly parts: GateParts) {
     this.parameters = parts.parameters;
     this.queues = IMPORTANCES.map(() => new WaitQueue(parts.parameters.order));
-    this.throttle = createThrottle(parts.parameters);
+    this.throttle = this.createThrottle(parts.parameters);
     this.waitBound = parts.parameters.createWaitBound();
   }
 
@@ -83,7 +85,7 @@
     for (const request of this.waiting.values()) {
       this.queues[request.arrival.importance]?.add(request);
     }
-    this.throttle = createThrottle(parameters);
+    this.throttle = this.createThrottle(parameters);
     this.waitBound = parameters.createWaitBound();
   }
 
@@ -155,6 +157,13 @@
     return this.parts.limiter.readLimit();
   }
 
+  private createThrottle(parameters: GateParameters): DownstreamThrottle {
+    return new DownstreamThrottle(
+      {...GATE_THROTTLE, headroom: parameters.downstreamHeadroom},
+      this.parts.handleThrottleChange,
+    );
+  }
+
   private checkTicketIsNew(ticket: string): void {
     if (this.waiting.has(ticket) || this.running.has(ticket)) {
       throw new SycamoreyokeError(`ticket "${ticket}" was offered twice`);
@@ -413,10 +422,3 @@
 function getKind(arrival: Arrival): string {
   return arrival.requestClass ?? String(arrival.importance);
 }
-
-function createThrottle(parameters: GateParameters): DownstreamThrottle {
-  return new DownstreamThrottle({
-    ...GATE_THROTTLE,
-    headroom: parameters.downstreamHeadroom,
-  });
-}
--- a/packages/sycamoreyoke/src/process/originAdmission.ts
+++ b/packages/sycamoreyoke/src/process/originAdmission.ts
@@ -1,7 +1,11 @@
 /** Decides at the origin which requests are begun while their calls fail. */
 import type {Importance} from '../types.js';
 import {DownstreamThrottle} from './downstreamThrottle.js';
-import type {ThrottledKind, ThrottleParameters} from './downstreamThrottle.js';
+import type {
+  ThrottleChangeHandler,
+  ThrottledKind,
+  ThrottleParameters,
+} from './downstreamThrottle.js';
 import {FailureDetector} from './failureDetector.js';
 
 /**
@@ -55,7 +59,11 @@
 export class OriginAdmission {
   private readonly routes = new Map<string, RouteState>();
   private readonly throttled = new Set<RouteState>();
-  private readonly throttle = new DownstreamThrottle(ORIGIN_THROTTLE);
+  private readonly throttle: DownstreamThrottle;
+
+  constructor(handleChange?: ThrottleChangeHandler) {
+    this.throttle = new DownstreamThrottle(ORIGIN_THROTTLE, handleChange);
+  }
 
   /** Decides whether to begin a request of a client. */
   admit({route, importance}: OriginRequest, nowMs: number): boolean {
