--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -343,6 +343,11 @@
     'status',
     'verdict: serving, not-serving or unknown',
     'elapsedMs: ms',
+  [EventCode.THROTTLE_CHANGED]: describe(
+    'A route begins or ceases to be admitted only in part, since its requests fail further down.',
+    'place: gate or origin',
+    'kind: route',
+    'isThrottled',
   ),
   [EventCode.PLATFORM_UNAVAILABLE]: describe(
     "The platform's service stopped answering.",
--- a/packages/sycamoreyoke/src/process/gate.ts
+++ b/packages/sycamoreyoke/src/process/gate.ts
@@ -5,6 +5,7 @@
 import {Importance, RefusalReason} from '../types.js';
 import type {QueueState} from './admissionEstimate.js';
 import {AdmissionEstimate} from './admissionEstimate.js';
+import type {ThrottleChangeHandler} from './downstreamThrottle.js';
 import {DownstreamThrottle, GATE_THROTTLE} from './downstreamThrottle.js';
 import type {AccountBacklog} from './fairness/fairQueue.js';
 import {FairQueue} from './fairness/fairQueue.js';
@@ -43,6 +44,7 @@
   readonly limiter: ConcurrencyLimiter;
   readonly parameters: GateParameters;
   readonly report: InvariantReporter;
+  readonly handleThrottleChange?: ThrottleChangeHandler;
 }
 
 type BacklogKey = Pick<Arrival, 'importance' | 'account'>;
@@ -76,7 +78,7 @@
   constructor(private readonly parts: GateParts) {
     this.parameters = parts.parameters;
     this.queues = IMPORTANCES.map(() => new FairQueue(parts.parameters.order));
-    this.throttle = createThrottle(parts.parameters);
+    this.throttle = this.createThrottle(parts.parameters);
     this.waitBound = parts.parameters.createWaitBound();
   }
 
@@ -87,7 +89,7 @@
     for (const request of this.waiting.values()) {
       this.queues[request.arrival.importance]?.add(request);
     }
-    this.throttle = createThrottle(parameters);
+    this.throttle = this.createThrottle(parameters);
     this.waitBound = parameters.createWaitBound();
   }
 
@@ -167,6 +169,13 @@
     return this.queues[importance]?.describeBacklog(account) ?? empty;
   }
 
+  private createThrottle(parameters: GateParameters): DownstreamThrottle {
+    return new DownstreamThrottle(
+      {...GATE_THROTTLE, headroom: parameters.downstreamHeadroom},
+      this.parts.handleThrottleChange,
+    );
+  }
+
   private checkTicketIsNew(ticket: string): void {
     if (this.waiting.has(ticket) || this.running.has(ticket)) {
       throw new SycamoreyokeError(`ticket "${ticket}" was offered twice`);
@@ -434,10 +443,3 @@
 function getKind(arrival: Arrival): string {
   return arrival.requestClass ?? String(arrival.importance);
 }
-
-function createThrottle(parameters: GateParameters): DownstreamThrottle {
-  return new DownstreamThrottle({
-    ...GATE_THROTTLE,
-    headroom: parameters.downstreamHeadroom,
-  });
-}
