--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -68,9 +68,9 @@
   readonly stop: () => void;
 }
 
-/** Creates an unlimited budget. */
-export function createHeldBytes(): HeldBytes {
-  const limits = {maxBytes: Infinity, largeBytes: Infinity};
+/** Creates a budget, by default an unlimited one. */
+export function createHeldBytes(maxBytes = Infinity): HeldBytes {
+  const limits = {maxBytes, largeBytes: maxBytes};
   return new HeldBytes(systemClock, limits);
 }
 
@@ -123,7 +123,10 @@
 }
 
 /** Opens a node that listens for links at a free port. */
-export async function openNode(node: string): Promise<TestNode> {
+export async function openNode(
+  node: string,
+  held = createHeldBytes(),
+): Promise<TestNode> {
   const address = {host: HOST, port: await findFreePort()};
   const received: ReceivedCall[] = [];
   const faults: string[] = [];
@@ -155,7 +158,7 @@
     readConfiguration: () => undefined,
     listNodes: () => [],
     handleFault: (message) => faults.push(message),
-    held: createHeldBytes(),
+    held,
   });
   await server.listen(address.host, address.port);
   return {server, address, received, faults};
