Check a connect timeout after the next read

Cause: timers run before sockets are read. A process that was behind for 600 ms while it connected to its upstream took the open connection for a failed one, counted the upstream as down for 300 ms and refused all its requests as not run.

Change: the timeout is decided after the next read.

Measured: the new test is red without the change (2 of 2) and green with it (3 of 3).

--- a/packages/sidecar/src/connection/upstreamConnection.test.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.test.ts
@@ -7,6 +7,7 @@
 import {Importance} from 'sycamoreyoke/types';
 import type {RunEnd} from '../request/upstreamRun.js';
 import {UpstreamRun} from '../request/upstreamRun.js';
+import {UPSTREAM_CONNECT_TIMEOUT_MS} from '../constants.js';
 import type {OutgoingCall, WireProtocol} from '../types.js';
 import {ExchangeEnd, ResponseOwner} from './upstreamConnection.js';
 import {UpstreamPool} from './upstreamPool.js';
@@ -91,6 +92,20 @@
   close();
 });
 
+// Guards against an upstream that counts as down because the process itself
+// was behind while it connected, so that all its requests are refused.
+it('upstream connection: a late read is not a failed connect', async () => {
+  const {pool, close} = await openUpstream();
+  const exchange = pool.open().run(REQUEST);
+  const endMs = performance.now() + UPSTREAM_CONNECT_TIMEOUT_MS + 50;
+  // The socket connects in the tick before this one.
+  process.nextTick(() => {
+    while (performance.now() < endMs);
+  });
+  expect(await exchange).to.include({end: ExchangeEnd.RESPONSE});
+  close();
+});
+
 // Guards against failing a request because a reused connection was reset before
 // any byte of the request was sent.
 it('upstream run: an unsent request goes over a new connection', async () => {
--- a/packages/sidecar/src/connection/upstreamConnection.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.ts
@@ -6,6 +6,7 @@
   UPSTREAM_CONNECT_TIMEOUT_MS,
   UPSTREAM_IDLE_MS,
 } from '../constants.js';
+import {runAfterNextRead} from '../process/eventLoop.js';
 import type {Address, HeaderList} from '../types.js';
 import {GateReason} from '../types.js';
 import type {ByteBudget, ExchangeBytes, ExchangeLimits} from './byteBudget.js';
@@ -139,9 +140,13 @@
     const {host, port} = parts.address;
     this.socket = connect({host, port, allowHalfOpen: true});
     this.socket.setNoDelay(true);
-    this.socket.setTimeout(UPSTREAM_CONNECT_TIMEOUT_MS, () => {
-      if (!this.isConnected) this.close('connecting took too long');
-    });
+    // Timers run before sockets are read: a process that was behind may not
+    // have read yet that the connection is open.
+    this.socket.setTimeout(UPSTREAM_CONNECT_TIMEOUT_MS, () =>
+      runAfterNextRead(() => {
+        if (!this.isConnected) this.close('connecting took too long');
+      }),
+    );
     this.socket.on('connect', () => {
       this.isConnected = true;
       this.socket.setTimeout(0);
