Lend the tokens of client accounts from an owner

Cause: no module limits what a client account uses over all nodes.

Change: library modules in process/allotment, without sockets or timers. A node is absent only if a majority has not heard from it, so that a partial partition does not lead to two owners.

--- /dev/null
+++ b/packages/sycamoreyoke/src/process/allotment/ownerContacts.ts
@@ -0,0 +1,174 @@
+/**
+ * Decides whether a node of the owner set may lend the tokens of an account, so
+ * that no two nodes lend them at a time, whichever nodes can reach each other.
+ *
+ * The nodes of the set contact each other. A node lends while more than half of
+ * the nodes that are not gone have answered its contacts for a lease, and while
+ * as many have not heard from each owner ahead of it for the takeover time. Two
+ * such majorities share a node, and a node that answers an owner has heard it.
+ */
+import {CONTACT_LEASE_MS, HANDBACK_MS, TAKEOVER_MS} from './constants.js';
+
+interface Contact {
+  /** When an ask of the node was last received. */
+  heardMs: number;
+  /** When the latest contact that the node has answered was sent. */
+  answeredMs: number;
+  /** Since when the node has answered without a gap of a lease. */
+  answeringSinceMs: number;
+  /** Nodes that the node had heard from when it answered. */
+  heard: ReadonlySet<string>;
+  /**
+   * Whether the process is gone, or is of a version without allotments. A node
+   * that is back counts once it has answered for a lease: otherwise its start
+   * would take the majority from the others.
+   */
+  isGone: boolean;
+  /** Since when the node is absent, if it is. */
+  absentSinceMs: number | undefined;
+  /** Since when an absent node is back, if it is. */
+  backSinceMs: number | undefined;
+}
+
+/** What a node of the owner set knows of the others. */
+export class OwnerContacts {
+  private contacts = new Map<string, Contact>();
+  private majoritySinceMs: number | undefined;
+
+  constructor(private readonly self: string) {}
+
+  /** Sets the nodes of the owner set. */
+  update(nowMs: number, owners: readonly string[]): void {
+    const others = owners.filter((owner) => owner !== this.self);
+    this.contacts = new Map(
+      others.map((owner) => [
+        owner,
+        this.contacts.get(owner) ?? createContact(nowMs),
+      ]),
+    );
+    this.refresh(nowMs);
+  }
+
+  recordAsk(nowMs: number, from: string): void {
+    const contact = this.contacts.get(from);
+    if (contact) contact.heardMs = nowMs;
+  }
+
+  recordAnswer(
+    nowMs: number,
+    from: string,
+    sentMs: number,
+    heard: Iterable<string>,
+  ): void {
+    const contact = this.contacts.get(from);
+    if (!contact || sentMs < contact.answeredMs) return;
+    if (!isAnswering(contact, nowMs)) contact.answeringSinceMs = nowMs;
+    contact.answeredMs = sentMs;
+    contact.heard = new Set(heard);
+  }
+
+  /** Records that the process of a node is gone, or has no allotments. */
+  recordGone(node: string): void {
+    const contact = this.contacts.get(node);
+    if (!contact || contact.isGone) return;
+    contact.isGone = true;
+    contact.heardMs = -Infinity;
+    contact.answeredMs = -Infinity;
+  }
+
+  /** Lists the nodes of the set from which this one has heard. */
+  listHeard(nowMs: number): readonly string[] {
+    return [...this.contacts]
+      .filter(([, contact]) => hasHeard(contact, nowMs))
+      .map(([owner]) => owner);
+  }
+
+  /**
+   * Returns since when this node lends accounts with an order of owners, or
+   * undefined if it does not, as of the last refresh.
+   */
+  computeLendingSince(order: readonly string[]): number | undefined {
+    const index = order.indexOf(this.self);
+    if (index < 0 || this.majoritySinceMs === undefined) return undefined;
+    let sinceMs = this.majoritySinceMs;
+    for (const owner of order.slice(0, index)) {
+      const absentMs = this.contacts.get(owner)?.absentSinceMs;
+      if (absentMs === undefined) return undefined;
+      sinceMs = Math.max(sinceMs, absentMs);
+    }
+    return sinceMs;
+  }
+
+  /** Updates since when the conditions of lending hold. */
+  refresh(nowMs: number): void {
+    const contacts = [...this.contacts.values()];
+    for (const contact of contacts) {
+      if (isSteady(contact, nowMs)) contact.isGone = false;
+    }
+    const live = contacts.filter(({isGone}) => !isGone);
+    const isMajority = (votes: number) => 2 * votes > live.length + 1;
+    const steady = live.filter((contact) => isSteady(contact, nowMs));
+    const hasMajority = isMajority(steady.length + 1);
+    if (hasMajority) this.majoritySinceMs ??= nowMs;
+    else this.majoritySinceMs = undefined;
+    const answering = live.filter((contact) => isAnswering(contact, nowMs));
+    for (const [owner, contact] of this.contacts) {
+      const votes = answering.filter(
+        (other) => other !== contact && !other.heard.has(owner),
+      ).length;
+      const isAbsent =
+        !hasHeard(contact, nowMs) && (contact.isGone || isMajority(votes + 1));
+      updateAbsence(contact, nowMs, isAbsent);
+    }
+  }
+}
+
+function createContact(nowMs: number): Contact {
+  return {
+    // A node that was restarted may have answered an owner before.
+    heardMs: nowMs,
+    answeredMs: -Infinity,
+    answeringSinceMs: Infinity,
+    heard: new Set<string>(),
+    isGone: false,
+    absentSinceMs: undefined,
+    backSinceMs: undefined,
+  };
+}
+
+/** An owner that is back lends after a lease; until then this node continues. */
+function updateAbsence(
+  contact: Contact,
+  nowMs: number,
+  isAbsent: boolean,
+): void {
+  if (isAbsent) {
+    contact.absentSinceMs ??= nowMs;
+    contact.backSinceMs = undefined;
+    return;
+  }
+  if (contact.absentSinceMs === undefined) return;
+  contact.backSinceMs ??= nowMs;
+  if (nowMs - contact.backSinceMs < HANDBACK_MS) return;
+  contact.absentSinceMs = undefined;
+  contact.backSinceMs = undefined;
+}
+
+function hasHeard({heardMs}: Contact, nowMs: number): boolean {
+  return nowMs - heardMs < TAKEOVER_MS;
+}
+
+function isAnswering({answeredMs}: Contact, nowMs: number): boolean {
+  return nowMs - answeredMs < CONTACT_LEASE_MS;
+}
+
+/**
+ * Whether the node has answered for a lease. Before that, another node may
+ * still rely on an answer in which it had not heard from this one.
+ */
+function isSteady(contact: Contact, nowMs: number): boolean {
+  return (
+    isAnswering(contact, nowMs) &&
+    nowMs - contact.answeringSinceMs >= CONTACT_LEASE_MS
+  );
+}
