Find a restarted owner, and outlast a takeover

Cause: a node found gone counted as gone until it answered, also when it had been started on the other side of a partition; two majorities could then be disjoint. A request whose owner was killed was refused when no other owner lent yet. Retry-After was 0 after a wait.

Change: a node is gone for 1.2 s after the last refused connection, and a started node counts the others as heard for 1.5 s. Waiting requests ask the first three reachable owners again every 100 ms. Retry-After is at least the gain of one token.

--- a/packages/sycamoreyoke/src/process/allotment/accountTokens.ts
+++ b/packages/sycamoreyoke/src/process/allotment/accountTokens.ts
@@ -45,6 +45,13 @@
     return Math.max(0, this.nextTokenMs - nowMs) + gainMs;
   }
 
+  /** Time after which a refused request finds a token, at least one gain. */
+  computeRetryMs(nowMs: number, position: number): number {
+    const gainMs = 1000 / this.allotment.ratePerS;
+    const nextMs = Math.max(0, this.nextTokenMs - nowMs) + position * gainMs;
+    return Math.max(gainMs, nextMs);
+  }
+
   /**
    * Stops to ask until the owner has a token. Others may return theirs earlier,
    * so the pause is short.
--- a/packages/sycamoreyoke/src/process/allotment/allotmentFleet.test.ts
+++ b/packages/sycamoreyoke/src/process/allotment/allotmentFleet.test.ts
@@ -11,6 +11,8 @@
 const TICK_MS = 50;
 /** Time until a node notices that it gets no answers from another. */
 const NOTICE_MS = 3_000;
+/** Interval at which a lost connection is dialled again. */
+const REDIAL_MS = 400;
 
 /** The end of a request. */
 export interface Outcome {
@@ -64,6 +66,7 @@
       readAllotment: () => this.allotment,
       readTolerance: () => this.options.tolerance,
       countNodes: () => this.names.length,
+      isTooOld: () => false,
       isReachable: (other) => this.hasLink(name, other),
       sendAsk: (other, message) =>
         this.deliver(name, other, () => {
@@ -81,9 +84,24 @@
   /** Kills a process; connections to it are refused from now on. */
   kill(name: string): void {
     this.running.delete(name);
-    for (const [, node] of this.running) {
-      node.handleLost(name);
-      node.handleGone(name);
+    for (const node of this.running.values()) node.handleLost(name);
+  }
+
+  /** Starts a process later, unless it runs. */
+  startLater(name: string, delayMs: number): void {
+    const run = () => {
+      if (!this.running.has(name)) this.start(name);
+    };
+    this.deliveries.push({dueMs: this.clock.readMs() + delayMs, run});
+  }
+
+  /** Lets all nodes that can reach them find dead processes. */
+  private refuseDials(): void {
+    const dead = this.names.filter((name) => !this.running.has(name));
+    for (const [name, node] of this.running) {
+      for (const other of dead) {
+        if (!this.cutSinceMs.has(`${name} ${other}`)) node.handleGone(other);
+      }
     }
   }
 
@@ -119,6 +137,7 @@
       const due = this.deliveries.filter(({dueMs}) => dueMs <= nowMs);
       this.deliveries = this.deliveries.filter(({dueMs}) => dueMs > nowMs);
       for (const {run} of due) run();
+      if (nowMs % REDIAL_MS === 0) this.refuseDials();
       for (const node of this.running.values()) {
         if (nowMs % TICK_MS === 0) node.tick();
         else if (node.hasPending()) node.flush();
--- a/packages/sycamoreyoke/src/process/allotment/allotmentNode.test.ts
+++ b/packages/sycamoreyoke/src/process/allotment/allotmentNode.test.ts
@@ -45,7 +45,7 @@
     const restarted = names[takeInteger(random, 2 * names.length)];
     if (restarted === undefined) return;
     fleet.kill(restarted);
-    fleet.start(restarted);
+    fleet.startLater(restarted, random() * 3_000);
   };
 }
 
--- a/packages/sycamoreyoke/src/process/allotment/allotmentNode.ts
+++ b/packages/sycamoreyoke/src/process/allotment/allotmentNode.ts
@@ -45,6 +45,8 @@
   readonly readAllotment: (account: string) => Allotment | undefined;
   readonly readTolerance: () => AllotmentTolerance | undefined;
   readonly countNodes: () => number;
+  /** Whether the node is known to have a version without allotments. */
+  readonly isTooOld: (node: string) => boolean;
   /** Whether a message to the node can be sent. */
   readonly isReachable: (node: string) => boolean;
   readonly sendAsk: (node: string, message: AskMessage) => void;
@@ -183,9 +185,9 @@
     if (this.holder.hasPending()) this.flush();
   }
 
-  /** Handles that the process of a node is gone, or cannot be an owner. */
+  /** Handles that the address of a node refuses connections. */
   handleGone(node: string): void {
-    this.contacts.recordGone(node);
+    this.contacts.recordGone(this.readMs(), node);
   }
 
   /** Stops to lend; the others notice it as the loss of this node. */
@@ -230,10 +232,12 @@
   }
 
   private sendContacts(nowMs: number): void {
-    const {self, isReachable} = this.parts;
+    const {self, isReachable, isTooOld} = this.parts;
     if (this.isStopped || !this.owners.includes(self)) return;
     for (const owner of this.owners) {
-      if (owner === self || !isReachable(owner)) continue;
+      if (owner === self) continue;
+      if (isTooOld(owner)) this.contacts.recordGone(nowMs, owner);
+      if (!isReachable(owner)) continue;
       this.ask(owner, [], nowMs);
     }
   }
--- a/packages/sycamoreyoke/src/process/allotment/constants.ts
+++ b/packages/sycamoreyoke/src/process/allotment/constants.ts
@@ -21,8 +21,13 @@
 export const RETURN_MARGIN_MS = 60;
 /** An ask without an answer after this time is lost. */
 export const ASK_TIMEOUT_MS = 300;
-/** An owner that does not lend is not asked again for this time. */
-export const OWNER_PAUSE_MS = 200;
+/**
+ * An owner that does not lend is not asked again for this time. It must be less
+ * than MAX_WAIT_MS, so that waiting requests outlast a takeover.
+ */
+export const OWNER_PAUSE_MS = 100;
+/** Reachable owners of an account that an origin asks, the first of the order. */
+export const MAX_ASKED_OWNERS = 3;
 /** Time constant of the moving average of an account's demand. */
 export const DEMAND_MS = 500;
 /** Interval at which the nodes of the owner set contact each other. */
@@ -32,6 +37,18 @@
  * CONTACT_LEASE_MS, so that an owner stops to lend before it is replaced.
  */
 export const TAKEOVER_MS = 1_000;
+/**
+ * A node whose process was found gone counts as gone for this time; a dead
+ * address is dialled again more often. It may have been started since, on the
+ * other side of a partition.
+ */
+export const GONE_MS = 1_200;
+/**
+ * A started node counts the others as heard for this time. It must exceed
+ * GONE_MS: its earlier process may have answered an owner, and an owner for which
+ * it is gone does not know its answers.
+ */
+export const START_GRACE_MS = 1_500;
 /** Validity of an answer of a node of the owner set, from its ask on. */
 export const CONTACT_LEASE_MS = 700;
 /**
--- a/packages/sycamoreyoke/src/process/allotment/ownerContacts.test.ts
+++ b/packages/sycamoreyoke/src/process/allotment/ownerContacts.test.ts
@@ -87,7 +87,7 @@
 it('owner contacts: gone owner is replaced at once until it is back', () => {
   const subject = new Subject().run(2_000);
   subject.peers.a = {isLinked: false};
-  subject.contacts.recordGone('a');
+  subject.contacts.recordGone(subject.nowMs, 'a');
   subject.run(STEP_MS);
   expect(subject.readLending().ofA).to.equal(subject.nowMs);
   subject.peers.a = {};
--- a/packages/sycamoreyoke/src/process/allotment/ownerContacts.ts
+++ b/packages/sycamoreyoke/src/process/allotment/ownerContacts.ts
@@ -7,7 +7,13 @@
  * as many have not heard from each owner ahead of it for the takeover time. Two
  * such majorities share a node, and a node that answers an owner has heard it.
  */
-import {CONTACT_LEASE_MS, HANDBACK_MS, TAKEOVER_MS} from './constants.js';
+import {
+  CONTACT_LEASE_MS,
+  GONE_MS,
+  HANDBACK_MS,
+  START_GRACE_MS,
+  TAKEOVER_MS,
+} from './constants.js';
 
 interface Contact {
   /** When an ask of the node was last received. */
@@ -19,11 +25,11 @@
   /** Nodes that the node had heard from when it answered. */
   heard: ReadonlySet<string>;
   /**
-   * Whether the process is gone, or is of a version without allotments. A node
-   * that is back counts once it has answered for a lease: otherwise its start
-   * would take the majority from the others.
+   * When the process was last found gone, or of a version without allotments. A
+   * node that is back counts once it has answered for a lease: otherwise its
+   * start would take the majority from the others.
    */
-  isGone: boolean;
+  goneMs: number;
   /** Since when the node is absent, if it is. */
   absentSinceMs: number | undefined;
   /** Since when an absent node is back, if it is. */
@@ -68,10 +74,10 @@
   }
 
   /** Records that the process of a node is gone, or has no allotments. */
-  recordGone(node: string): void {
+  recordGone(nowMs: number, node: string): void {
     const contact = this.contacts.get(node);
-    if (!contact || contact.isGone) return;
-    contact.isGone = true;
+    if (!contact) return;
+    contact.goneMs = nowMs;
     contact.heardMs = -Infinity;
     contact.answeredMs = -Infinity;
   }
@@ -103,9 +109,9 @@
   refresh(nowMs: number): void {
     const contacts = [...this.contacts.values()];
     for (const contact of contacts) {
-      if (isSteady(contact, nowMs)) contact.isGone = false;
+      if (isSteady(contact, nowMs)) contact.goneMs = -Infinity;
     }
-    const live = contacts.filter(({isGone}) => !isGone);
+    const live = contacts.filter((contact) => !isGone(contact, nowMs));
     const isMajority = (votes: number) => 2 * votes > live.length + 1;
     const steady = live.filter((contact) => isSteady(contact, nowMs));
     const hasMajority = isMajority(steady.length + 1);
@@ -117,7 +123,8 @@
         (other) => other !== contact && !other.heard.has(owner),
       ).length;
       const isAbsent =
-        !hasHeard(contact, nowMs) && (contact.isGone || isMajority(votes + 1));
+        !hasHeard(contact, nowMs) &&
+        (isGone(contact, nowMs) || isMajority(votes + 1));
       updateAbsence(contact, nowMs, isAbsent);
     }
   }
@@ -125,12 +132,11 @@
 
 function createContact(nowMs: number): Contact {
   return {
-    // A node that was restarted may have answered an owner before.
-    heardMs: nowMs,
+    heardMs: nowMs + START_GRACE_MS - TAKEOVER_MS,
     answeredMs: -Infinity,
     answeringSinceMs: Infinity,
     heard: new Set<string>(),
-    isGone: false,
+    goneMs: -Infinity,
     absentSinceMs: undefined,
     backSinceMs: undefined,
   };
@@ -154,6 +160,10 @@
   contact.backSinceMs = undefined;
 }
 
+function isGone({goneMs}: Contact, nowMs: number): boolean {
+  return nowMs - goneMs < GONE_MS;
+}
+
 function hasHeard({heardMs}: Contact, nowMs: number): boolean {
   return nowMs - heardMs < TAKEOVER_MS;
 }
--- a/packages/sycamoreyoke/src/process/allotment/tokenHolder.ts
+++ b/packages/sycamoreyoke/src/process/allotment/tokenHolder.ts
@@ -7,6 +7,7 @@
 import {AccountTokens} from './accountTokens.js';
 import {
   LOW_TOKENS_MS,
+  MAX_ASKED_OWNERS,
   MAX_WAIT_MS,
   RETURN_MARGIN_MS,
   OWNER_PAUSE_MS,
@@ -89,7 +90,8 @@
     const untilMs = Math.min(nowMs + MAX_WAIT_MS, usefulUntilMs);
     const delayMs = state.computeDelayMs(nowMs, state.waiters.length);
     if (nowMs + delayMs > untilMs) {
-      refuse(handle, ChargeEnd.OVER_LIMIT, delayMs);
+      const retryMs = state.computeRetryMs(nowMs, state.waiters.length);
+      refuse(handle, ChargeEnd.OVER_LIMIT, retryMs);
       return;
     }
     state.waiters.push({untilMs, handle, hasAnswer: false});
@@ -115,14 +117,17 @@
         this.pending.delete(account);
         continue;
       }
+      this.endWaits(state, nowMs);
       if (nowMs < state.notBeforeMs) continue;
-      const owner = this.chooseOwner(account, state, nowMs);
-      if (owner !== undefined && !mayAsk(owner)) continue;
-      this.pending.delete(account);
-      if (owner === undefined) {
+      const reachable = this.listReachable(account, state);
+      if (reachable.length === 0) {
+        this.pending.delete(account);
         this.settleWithoutOwner(state, nowMs);
         continue;
       }
+      const owner = reachable.find((each) => !state.isPaused(each, nowMs));
+      if (owner === undefined || !mayAsk(owner)) continue;
+      this.pending.delete(account);
       const ask = createAsk(account, state, owner, nowMs);
       if (ask.wanted === 0 && ask.returned === 0) continue;
       state.asked = {owner, sentMs: nowMs};
@@ -195,16 +200,15 @@
     return state;
   }
 
-  /** Chooses the first owner in the order that may lend. */
-  private chooseOwner(
+  /** Lists the first owners in the order of the account that can be asked. */
+  private listReachable(
     account: string,
     state: AccountTokens,
-    nowMs: number,
-  ): string | undefined {
+  ): readonly string[] {
     state.order ??= sortOwners(account, this.owners);
-    return state.order.find(
-      (owner) => !state.isPaused(owner, nowMs) && this.parts.isReachable(owner),
-    );
+    return state.order
+      .filter((owner) => this.parts.isReachable(owner))
+      .slice(0, MAX_ASKED_OWNERS);
   }
 
   private endAsk(account: string, state: AccountTokens, nowMs: number): void {
@@ -218,8 +222,8 @@
     const ended = state.takeEndedWaiters(nowMs);
     for (const {handle, hasAnswer} of ended) {
       if (hasAnswer) {
-        const delayMs = state.computeDelayMs(nowMs, 0);
-        refuse(handle, ChargeEnd.OVER_LIMIT, delayMs);
+        const retryMs = state.computeRetryMs(nowMs, 0);
+        refuse(handle, ChargeEnd.OVER_LIMIT, retryMs);
       } else this.takeFromTolerance(state, nowMs, handle);
     }
   }
@@ -289,8 +293,8 @@
   const late = state.takeLateWaiters(nowMs);
   for (const [index, {handle}] of late.entries()) {
     const position = waiters.length + index;
-    const delayMs = state.computeDelayMs(nowMs, position);
-    refuse(handle, ChargeEnd.OVER_LIMIT, delayMs);
+    const retryMs = state.computeRetryMs(nowMs, position);
+    refuse(handle, ChargeEnd.OVER_LIMIT, retryMs);
   }
 }
 
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -128,6 +128,14 @@
     'hasKey: whether the request had a key',
     'version: configuration version',
   ),
+  [EventCode.REQUEST_OVER_ALLOTMENT]: describe(
+    'The client account has used its allotment; the request has not run.',
+    'account',
+    'route',
+    'cause: over-limit, or no-owner if no node that lends tokens could be asked',
+    'retryMs: time until a token is expected, ms',
+    'version: configuration version',
+  ),
   [EventCode.CALL_ROUTED]: describe(
     'The egress sent a call to a member.',
     'service',
--- a/packages/sycamoreyoke/src/process/metrics.ts
+++ b/packages/sycamoreyoke/src/process/metrics.ts
@@ -26,6 +26,12 @@
   readonly read: () => number;
 }
 
+/** A value of a counter that is kept elsewhere. */
+export interface ReadSeries {
+  readonly labels: Labels;
+  readonly value: number;
+}
+
 interface Timer extends Series {
   readonly histogram: Histogram;
   sumUs: number;
@@ -55,6 +61,7 @@
 export class Metrics {
   private readonly counters = new Map<string, Counter>();
   private readonly gauges = new Map<string, Gauge>();
+  private readonly readers = new Map<string, () => readonly ReadSeries[]>();
   private readonly timers = new Map<string, Timer>();
 
   /** Adds to a counter. */
@@ -75,6 +82,11 @@
     this.gauges.set(buildKey(name, labels), {name, labels, read});
   }
 
+  /** Registers counters whose series are read when metrics are rendered. */
+  watchSeries(name: string, read: () => readonly ReadSeries[]): void {
+    this.readers.set(name, read);
+  }
+
   /** Records a duration in milliseconds. */
   observe(name: string, milliseconds: number, labels: Labels = {}): void {
     const key = buildKey(name, labels);
@@ -89,8 +101,12 @@
 
   /** Renders all series in the Prometheus text format. */
   render(): string {
+    const read = [...this.readers].flatMap(([name, list]) =>
+      list().map((series) => ({name, ...series})),
+    );
+    const counters = [...this.counters.values(), ...read];
     return [
-      ...renderFamilies([...this.counters.values()], 'counter', (counter) => [
+      ...renderFamilies(counters, 'counter', (counter) => [
         `${counter.name}${formatLabels(counter.labels)} ${counter.value}`,
       ]),
       ...renderFamilies([...this.gauges.values()], 'gauge', (gauge) => [
