Charge client requests of limited accounts at the origin

Cause: rate-per-s and burst of an account had no effect.

Change: AllotmentTask charges requests of accounts with a limit and exchanges tokens in TOKENS_ASK (16) and TOKENS_GRANT (17), frame revision 4. Each node links the owner set if the configuration has limits; these links get no calls beyond those of the chosen subset.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -2,6 +2,10 @@
 import type {Socket} from 'node:net';
 import type {Clock} from 'sycamoreyoke/clock';
 import {SendEnd} from 'sycamoreyoke/request/resend';
+import type {
+  AskMessage,
+  GrantMessage,
+} from 'sycamoreyoke/process/allotment/allotmentNode';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {
   ACCEPTED_SILENCE_MS,
@@ -65,6 +69,8 @@
   /** Lists what a node has to know that has just been linked. */
   readonly listNotices: (node: string) => readonly LeavingNotice[];
   readonly handleNotice: (notice: LeavingNotice) => void;
+  /** Answers a node that asks for tokens of client accounts. */
+  readonly answerTokens: (node: string, message: AskMessage) => GrantMessage;
   /** Limits the bytes of incomplete frames of all links together. */
   readonly frameBudget: ByteBudget<FrameReader>;
 }
@@ -89,6 +95,8 @@
   private peerRevision = 0;
   /** Whether the peer belongs to the same service. */
   private isSameService = false;
+  /** Name of the peer, from its HELLO. */
+  private peerName: string | undefined;
   private session: LinkSession;
   private sessionName: string | undefined;
   private readonly transitDelay = new TransitDelay();
@@ -222,6 +230,7 @@
     switch (frame.kind) {
       case FrameKind.HELLO:
         this.peerRevision = frame.revision;
+        this.peerName = frame.node.node;
         this.openSession(frame);
         this.isSameService =
           frame.node.service === this.parts.describeSelf().node.service;
@@ -271,6 +280,13 @@
       case FrameKind.LEAVINGS:
         this.parts.handleNotice(frame.notice);
         return;
+      case FrameKind.TOKENS_ASK: {
+        if (this.peerName === undefined) return;
+        const {answerTokens} = this.parts;
+        const message = answerTokens(this.peerName, frame.message);
+        send({kind: FrameKind.TOKENS_GRANT, message});
+        return;
+      }
       case FrameKind.GET_NODES:
         send({kind: FrameKind.NODES, nodes: this.parts.listNodes()});
         return;
--- a/packages/sidecar/src/connection/frame.ts
+++ b/packages/sidecar/src/connection/frame.ts
@@ -1,4 +1,8 @@
 /** The messages between two nodes. */
+import type {
+  AskMessage,
+  GrantMessage,
+} from 'sycamoreyoke/process/allotment/allotmentNode';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import type {
   CallResult,
@@ -33,13 +37,16 @@
    * before it was restarted.
    */
   LEAVINGS = 15,
+  /** Asks an owner for tokens of client accounts; without any, a contact. */
+  TOKENS_ASK = 16,
+  TOKENS_GRANT = 17,
 }
 
 /**
  * Revision of the frames that a node understands, sent in its HELLO. Nodes that
  * send none (0) treat an unknown kind as a fault and end the link.
  */
-export const FRAME_REVISION = 3;
+export const FRAME_REVISION = 4;
 /** First revision with GOODBYE. */
 export const GOODBYE_REVISION = 1;
 /** First revision that ignores unknown kinds of frames. */
@@ -54,6 +61,9 @@
 /** First revision that keeps LEAVINGS for the node that they are about. */
 export const LEAVINGS_REVISION = 3;
 
+/** First revision with TOKENS_ASK and TOKENS_GRANT. */
+export const TOKENS_REVISION = 4;
+
 /** A message between two nodes. */
 export type Frame =
   | {
@@ -99,6 +109,8 @@
   | {readonly kind: FrameKind.GOODBYE}
   | {readonly kind: FrameKind.RESUMED}
   | {readonly kind: FrameKind.LEAVINGS; readonly notice: LeavingNotice}
+  | {readonly kind: FrameKind.TOKENS_ASK; readonly message: AskMessage}
+  | {readonly kind: FrameKind.TOKENS_GRANT; readonly message: GrantMessage}
   | {readonly kind: FrameKind.RESUME; readonly pendingIds: readonly number[]}
   | {
       readonly kind: FrameKind.SUSPECTS;
--- a/packages/sidecar/src/connection/frameReader.test.ts
+++ b/packages/sidecar/src/connection/frameReader.test.ts
@@ -68,6 +68,23 @@
     },
   },
   {kind: FrameKind.RESUMED},
+  {
+    kind: FrameKind.TOKENS_ASK,
+    message: {
+      sequence: 1,
+      asks: [{account: 'hotel', wanted: 2, returned: 1}],
+    },
+  },
+  {
+    kind: FrameKind.TOKENS_GRANT,
+    message: {
+      sequence: 1,
+      grants: [
+        {account: 'hotel', granted: 2, lifetimeMs: 500, nextTokenMs: 10},
+      ],
+      heard: ['a'],
+    },
+  },
 ];
 /** Values that replace each field, one after another. */
 const REPLACEMENT_VALUES: readonly unknown[] = [
--- a/packages/sidecar/src/connection/linkEvents.ts
+++ b/packages/sidecar/src/connection/linkEvents.ts
@@ -13,6 +13,8 @@
   handleHello(link: PeerLink, node: NodeRecord): void;
   handleFrame(link: PeerLink, frame: Frame): void;
   handleUp(link: PeerLink): void;
+  /** Called when the address refuses connections: the process is gone. */
+  handleRefused(link: PeerLink): void;
   handleDown(link: PeerLink, message: string): void;
   /** Called when a ping timed out; other connections may be dead as well. */
   handleSilentLink(): void;
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -148,6 +148,7 @@
     handleSuspects: () => undefined,
     listNotices: () => [],
     handleNotice: () => undefined,
+    answerTokens: (_node, {sequence}) => ({sequence, grants: [], heard: []}),
     readConfiguration: () => undefined,
     listNodes: () => [],
     handleFault: (message) => faults.push(message),
@@ -174,6 +175,7 @@
     handleDown: (_link, message) => losses.push(message),
     handleSilentLink: () => undefined,
     handleResume: (_link, calls) => resumes.push(calls),
+    handleRefused: () => undefined,
     handleForgotten: (_link, calls) => forgotten.push(calls),
     handleClosing: (_link, calls) => closings.push(calls),
   };
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -31,6 +31,7 @@
   readName,
   readText,
 } from './frameFields.js';
+import {buildAsks, buildGrants, readAsks, readGrants} from './tokenFrames.js';
 
 /** Size of the length prefix of a frame, big-endian. */
 export const LENGTH_BYTES = 4;
@@ -150,6 +151,10 @@
       return [kind, buildCrashes(frame.suspects)];
     case FrameKind.LEAVINGS:
       return [kind, frame.notice.node, buildLeavings(frame.notice)];
+    case FrameKind.TOKENS_ASK:
+      return [kind, ...buildAsks(frame.message)];
+    case FrameKind.TOKENS_GRANT:
+      return [kind, ...buildGrants(frame.message)];
     case FrameKind.GET_CONFIGURATION:
     case FrameKind.GET_NODES:
     case FrameKind.GOODBYE:
@@ -213,6 +218,10 @@
       return {kind, nodes: readNodes(first)};
     case FrameKind.SUSPECTS:
       return {kind, suspects: readCrashes(first)};
+    case FrameKind.TOKENS_ASK:
+      return {kind, message: readAsks(first, second)};
+    case FrameKind.TOKENS_GRANT:
+      return {kind, message: readGrants(first, second, third)};
     case FrameKind.LEAVINGS: {
       const node = readName(first);
       return {kind, notice: {node, leavings: readLeavings(second)}};
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -57,7 +57,8 @@
   private replacement: Socket | undefined;
   private lastReplacementMs = -Infinity;
   private isUp = false;
-  private peerRevision = 0;
+  /** Revision of the node's frames; 0 before its first HELLO. */
+  peerRevision = 0;
   private isStopped = false;
   private isRetired = false;
   private lastReceivedMs = 0;
@@ -212,8 +213,9 @@
       const isDialled = this.socket === socket && !this.isUp;
       this.handleEnd(socket, error.message);
       // The process that had the calls is gone, or is stopping.
-      if (isDialled && error.code === 'ECONNREFUSED')
-        this.pendingCalls.settleAll(createLoss());
+      if (!isDialled || error.code !== 'ECONNREFUSED') return;
+      this.pendingCalls.settleAll(createLoss());
+      this.events.handleRefused(this);
     });
     socket.on('close', () => {
       reader.close();
--- a/packages/sidecar/src/process/peerTask.test.ts
+++ b/packages/sidecar/src/process/peerTask.test.ts
@@ -25,7 +25,7 @@
   close(): void;
 }
 
-async function openSilentNode(): Promise<SilentNode> {
+async function openSilentNode(name = 'peer'): Promise<SilentNode> {
   const kinds: FrameKind[] = [];
   const sockets: Socket[] = [];
   const {address, server} = await openRawServer((socket) => {
@@ -34,7 +34,7 @@
     socket.on('data', (chunk) => reader.add(chunk));
     socket.on('end', () => socket.end());
     socket.on('error', () => undefined);
-    const node = createNode('peer', address);
+    const node = createNode(name, address);
     const revision = FRAME_REVISION;
     socket.write(
       encodeFrame({kind: FrameKind.HELLO, node, report: REPORT, revision}),
@@ -42,7 +42,7 @@
   });
   return {
     kinds,
-    node: createNode('peer', address),
+    node: createNode(name, address),
     isLinkClosed: () => sockets.some((socket) => socket.destroyed),
     close: () => {
       for (const socket of sockets) socket.destroy();
@@ -51,7 +51,7 @@
   };
 }
 
-function createTask(): PeerTask {
+function createTask(owners: readonly string[] = []): PeerTask {
   return new PeerTask({
     self: {...createNode('origin', {host: HOST, port: 1}), service: 'tracking'},
     clock: systemClock,
@@ -69,6 +69,10 @@
     handleSuspects: () => undefined,
     listNotices: () => [],
     handleNotice: () => undefined,
+    chooseOwners: () => new Set(owners),
+    handleGrant: () => undefined,
+    handleOwnerLost: () => undefined,
+    handleOwnerGone: () => undefined,
     frameBudget: createFrameBudget(),
   });
 }
@@ -123,3 +127,24 @@
   expect(task.countOpen()).to.equal(0);
   expect(peer.kinds).to.deep.equal([]);
 });
+
+// Guards against owners of client accounts, which all nodes link, that get the
+// calls of all nodes.
+it('peer task: a node that is linked as an owner gets no calls', async () => {
+  const names = Array.from({length: 14}, (_, index) => `peer-${index}`);
+  const peers = await Promise.all(names.map((name) => openSilentNode(name)));
+  const task = createTask(names);
+  task.update(peers.map(({node}) => node));
+  await waitFor(() => task.countOpen() === names.length);
+  const candidates = new Set<string>();
+  task.choose('booking', 'book', 0, (node) => {
+    candidates.add(node);
+    return true;
+  });
+  const areAskable = names.every((name) => task.isAskable(name));
+  task.stop();
+  for (const peer of peers) peer.close();
+  // Ten of the service, and the successor.
+  expect(candidates.size).to.be.within(10, 11);
+  expect(areAskable).to.equal(true);
+});
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -1,5 +1,9 @@
 /** Manages the links to other nodes and chooses the node for each call. */
 import type {Clock} from 'sycamoreyoke/clock';
+import type {
+  AskMessage,
+  GrantMessage,
+} from 'sycamoreyoke/process/allotment/allotmentNode';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
@@ -10,7 +14,7 @@
 import {choosePlacement} from 'sycamoreyoke/process/placement';
 import type {ByteBudget} from '../connection/byteBudget.js';
 import type {FrameReader} from '../connection/frameReader.js';
-import {FrameKind} from '../connection/frame.js';
+import {FrameKind, TOKENS_REVISION} from '../connection/frame.js';
 import type {LinkEvents} from '../connection/linkEvents.js';
 import {PeerLink} from '../connection/peerLink.js';
 import {chooseSubset, findSuccessor} from 'sycamoreyoke/process/linkSubset';
@@ -34,6 +38,7 @@
 } from '../types.js';
 
 import type {ConfigurationPeer} from './configurationTask.js';
+import {collectByService} from './serviceGroups.js';
 
 /** Dependencies of the task. */
 export interface PeerTaskParts {
@@ -65,6 +70,12 @@
   readonly needsNodes: () => boolean;
   /** Called when bytes of a node are read. */
   readonly handleActivity: () => void;
+  /** Chooses nodes to link besides those that are called. */
+  readonly chooseOwners: (nodes: readonly NodeRecord[]) => ReadonlySet<string>;
+  readonly handleGrant: (node: string, message: GrantMessage) => void;
+  readonly handleOwnerLost: (node: string) => void;
+  /** Called when the address of a node refuses connections. */
+  readonly handleOwnerGone: (node: string) => void;
   /** Limits the bytes of incomplete frames of all links together. */
   readonly frameBudget: ByteBudget<FrameReader>;
 }
@@ -113,8 +124,10 @@
   }
 
   private applyNodes(nodes: readonly NodeRecord[]): void {
+    const callable = this.chooseNodesToLink(nodes);
+    const callableNames = new Set(callable.map(({node}) => node));
     const nodesToDial = new Map(
-      this.chooseNodesToLink(nodes).map((node) => [node.node, node]),
+      [...callable, ...this.listOwners(nodes)].map((node) => [node.node, node]),
     );
     for (const [name, link] of this.links) {
       const node = nodesToDial.get(name);
@@ -127,11 +140,22 @@
       this.links.set(name, link);
     }
     this.linksByService = collectByService(
-      this.links.values(),
+      [...this.links.values()].filter(({node}) => callableNames.has(node.node)),
       ({node}) => node.service,
     );
   }
 
+  /**
+   * Lists the other nodes that own accounts. All nodes link them, so they get
+   * calls only from those that have chosen them for calls.
+   */
+  private listOwners(nodes: readonly NodeRecord[]): readonly NodeRecord[] {
+    const owners = this.parts.chooseOwners(nodes);
+    return nodes.filter(
+      ({node}) => owners.has(node) && node !== this.parts.self.node,
+    );
+  }
+
   /**
    * Chooses some nodes of each service, and the successor in the order of
    * names, which this node watches in order to remove its row when it is gone.
@@ -151,6 +175,17 @@
     return [...(successor ? chosen.add(successor) : chosen)];
   }
 
+  /** Whether a node can be asked for tokens; undefined if it is not linked. */
+  isAskable(node: string): boolean | undefined {
+    const link = this.links.get(node);
+    return link?.isOpen() ? link.peerRevision >= TOKENS_REVISION : undefined;
+  }
+
+  /** Asks a node for tokens of client accounts. */
+  sendAsk(node: string, message: AskMessage): void {
+    this.links.get(node)?.write({kind: FrameKind.TOKENS_ASK, message});
+  }
+
   /** Chooses the best node for a call, or none if no node can take it. */
   choose(
     service: string,
@@ -313,17 +348,20 @@
       }
       if (this.parts.needsNodes()) link.write({kind: FrameKind.GET_NODES});
     },
-    handleFrame: (_link, frame) => {
+    handleFrame: (link, frame) => {
       if (frame.kind === FrameKind.CONFIGURATION) {
         this.parts.handleConfiguration(frame.content);
       } else if (frame.kind === FrameKind.SUSPECTS) {
         this.parts.handleSuspects(frame.suspects);
       } else if (frame.kind === FrameKind.LEAVINGS) {
         this.parts.handleNotice(frame.notice);
+      } else if (frame.kind === FrameKind.TOKENS_GRANT) {
+        this.parts.handleGrant(link.node.node, frame.message);
       } else if (frame.kind === FrameKind.NODES) {
         for (const node of frame.nodes) this.parts.handleNode(node);
       }
     },
+    handleRefused: ({node}) => this.parts.handleOwnerGone(node.node),
     handleUp: (link) => {
       this.parts.record(EventCode.LINK_UP, {
         node: link.node.node,
@@ -331,6 +369,7 @@
       });
     },
     handleDown: (link, message) => {
+      this.parts.handleOwnerLost(link.node.node);
       this.parts.record(EventCode.LINK_DOWN, {
         node: link.node.node,
         service: link.node.service,
@@ -371,20 +410,6 @@
   }
 }
 
-function collectByService<T>(
-  items: Iterable<T>,
-  readService: (item: T) => string,
-): ReadonlyMap<string, readonly T[]> {
-  const groups = new Map<string, T[]>();
-  for (const item of items) {
-    const service = readService(item);
-    const group = groups.get(service);
-    if (group) group.push(item);
-    else groups.set(service, [item]);
-  }
-  return groups;
-}
-
 function isSameProcess(first: NodeRecord, second: NodeRecord): boolean {
   return (
     first.node === second.node &&
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -15,6 +15,7 @@
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {Random} from 'sycamoreyoke/random';
 import {DEFAULT_TIMEOUT_MS, STOP_RETRY_MS} from '../constants.js';
+import type {AllotmentTask, Charge} from '../process/allotmentTask.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {ParentCall} from '../process/upstreamTask.js';
 import type {
@@ -30,6 +31,7 @@
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
 import {HOP_BY_HOP_HEADERS} from './hopByHopHeaders.js';
+import {chooseImportance} from './importance.js';
 import {AnswerKind, OriginCall} from './originCall.js';
 
 /** Dependencies of the handler. */
@@ -38,6 +40,7 @@
   readonly random: Random;
   readonly wire: WireProtocol;
   readonly peers: PeerTask;
+  readonly allotments: AllotmentTask;
   readonly rotation: WeightedRotation;
   readonly service: string;
   readonly record: EventRecorder;
@@ -55,6 +58,7 @@
   UNAUTHORIZED = 401,
   NOT_FOUND = 404,
   TOO_LARGE = 413,
+  TOO_MANY_REQUESTS = 429,
   BAD_GATEWAY = 502,
   UNAVAILABLE = 503,
   GATEWAY_TIMEOUT = 504,
@@ -67,13 +71,6 @@
 /** Shortest retry delay advised to clients. */
 const MIN_RETRY_MS = 100;
 const EMPTY_BODY = new Uint8Array(0);
-/** Importance of requests by the rank of their route; other ranks have LOW. */
-const IMPORTANCE_BY_RANK = [
-  Importance.CRITICAL,
-  Importance.HIGH,
-  Importance.NORMAL,
-] as const;
-
 /** Reads, routes and answers the requests at the outbound address. */
 export class OriginHandler {
   /** Unanswered requests, each with its call once it was routed. */
@@ -168,7 +165,7 @@
     const deadlineMs =
       parent && stop ? stop.clampDeadline(routeDeadlineMs) : routeDeadlineMs;
     const importance = chooseImportance(route, account, parent);
-    this.start(exchange, {
+    const routed: RoutedRequest = {
       requestId: head.requestId,
       route,
       service,
@@ -188,6 +185,25 @@
       configurationVersion: table.version,
       parentId: parent?.requestId,
       account: account?.name ?? parent?.account,
+    };
+    if (account?.ratePerS === undefined) this.start(exchange, routed);
+    else this.takeToken(exchange, routed, account);
+  }
+
+  /** Starts a client's request if its account may run another one. */
+  private takeToken(
+    exchange: ClientExchange,
+    routed: RoutedRequest,
+    account: Account,
+  ): void {
+    this.parts.allotments.take(account, routed, (charge) => {
+      if (exchange.state !== ExchangeState.RUNNING) charge.release();
+      else if (charge.isGranted) this.start(exchange, routed, charge);
+      else {
+        const message = `account ${account.name} has used its allotment`;
+        const {retryAfterMs} = charge;
+        this.refuse(exchange, Status.TOO_MANY_REQUESTS, message, retryAfterMs);
+      }
     });
   }
 
@@ -241,7 +257,11 @@
     return parent.isConfirmed || stop.clampDeadline(deadlineMs) === deadlineMs;
   }
 
-  private start(exchange: ClientExchange, routed: RoutedRequest): void {
+  private start(
+    exchange: ClientExchange,
+    routed: RoutedRequest,
+    charge?: Charge,
+  ): void {
     const {clock, peers, service, record, metrics, readRetryBudget} =
       this.parts;
     const call = new OriginCall(routed, {
@@ -251,7 +271,10 @@
       record,
       metrics,
       readRetryBudget,
-      handle: (answer) => this.answer(exchange, routed, answer),
+      handle: (answer) => {
+        if (answer.kind === AnswerKind.NOT_RUN) charge?.release();
+        this.answer(exchange, routed, answer);
+      },
     });
     this.openRequests.set(exchange, call);
     exchange.handleClose((isCut) => {
@@ -350,20 +373,6 @@
   }
 }
 
-/**
- * The priority of the account takes precedence over the route's. A call is at
- * least as important as the request for which it is made.
- */
-function chooseImportance(
-  route: Route,
-  account: Account | undefined,
-  parent: ParentCall | undefined,
-): Importance {
-  const rank = account?.rank ?? route.rank;
-  const routeImportance = IMPORTANCE_BY_RANK[rank] ?? Importance.LOW;
-  return Math.max(routeImportance, parent?.importance ?? routeImportance);
-}
-
 /**
  * Returns until when a start of the request is useful. A request that waits
  * past its target latency has lost most of its use and delays others that could
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -101,6 +101,7 @@
     parts.record(EventCode.NODE_LEAVING, {cause: signal});
     parts.peerServer.announceReport();
     parts.leavings.startHandover();
+    parts.allotments.retire();
     await this.takeRequests(schedule);
     await parts.clients.stopAccepting();
     const leftMs = Math.max(0, schedule.answerMs - parts.clock.readMs());
@@ -121,6 +122,7 @@
       server.closeAllConnections();
     }
     parts.peers.stop();
+    parts.allotments.stop();
     parts.upstream.stop();
     parts.crashes.stop();
     parts.configuration.stop();
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -1,5 +1,6 @@
 /** Types shared by the sidecar's tasks, and the interfaces of its adapter. */
 import {isIP} from 'node:net';
+import type {AllotmentTolerance} from 'sycamoreyoke/process/allotment/types';
 import type {Importance} from 'sycamoreyoke/types';
 import type {SendEnd} from 'sycamoreyoke/request/resend';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
@@ -221,6 +222,8 @@
     /** Additional retries that the whole deployment may make. */
     readonly slack: number;
   };
+  /** Tolerated excess over the allotments of client accounts, if any. */
+  readonly allotmentTolerance: AllotmentTolerance | undefined;
 }
 
 /** Settings of a sidecar. */
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -12,7 +12,6 @@
 import {createRetryAllowance} from 'sycamoreyoke/process/retryAllowance';
 import {isStarted} from 'sycamoreyoke/process/startPhase';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
-import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import type {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
 import {
   chooseWatchMs,
@@ -39,7 +38,7 @@
   ConfigurationSource,
   ConfigurationTask,
 } from './process/configurationTask.js';
-import type {CrashMark} from './process/crashTask.js';
+import {AllotmentTask} from './process/allotmentTask.js';
 import {CrashTask, isCrashRow} from './process/crashTask.js';
 import type {DecisionLog} from './process/decisionLog.js';
 import {runAfterTurn} from './process/eventLoop.js';
@@ -51,32 +50,16 @@
 import {StoreFollower} from './process/storeFollower.js';
 import {UpstreamTask} from './process/upstreamTask.js';
 import {OriginHandler} from './request/originHandler.js';
+import type {SidecarAdapter} from './sidecarAdapter.js';
 import type {
-  ConfigurationDecoder,
-  FleetStore,
   NodeRecord,
   NodeReport,
   ReloadableSettings,
   SidecarSettings,
   StoredRow,
-  WireProtocol,
 } from './types.js';
 import {StoreTable} from './types.js';
 
-/** Settings, protocols and codecs that an adapter provides. */
-export interface SidecarAdapter {
-  readonly settings: SidecarSettings;
-  readonly wire: WireProtocol;
-  readonly store: FleetStore;
-  readonly decodeConfiguration: ConfigurationDecoder;
-  readonly encodeNode: (node: NodeRecord) => Uint8Array;
-  readonly decodeNode: (content: Uint8Array) => NodeRecord | undefined;
-  readonly encodeMark: (mark: CrashMark) => Uint8Array;
-  readonly decodeMark: (content: Uint8Array) => CrashMark | undefined;
-  readonly encodeLeavings: (leavings: readonly UpstreamLeaving[]) => Uint8Array;
-  readonly decodeLeavings: (content: Uint8Array) => readonly UpstreamLeaving[];
-}
-
 /** The parts of a sidecar that its process and its adapter use. */
 export interface SidecarParts {
   /** Updated by applyReloadableSettings, so read values at each use. */
@@ -92,6 +75,7 @@
   readonly origin: OriginHandler;
   readonly clients: ClientListener;
   readonly peers: PeerTask;
+  readonly allotments: AllotmentTask;
   readonly peerServer: PeerServer;
   readonly fleet: FleetTask;
   readonly configuration: ConfigurationTask;
@@ -142,6 +126,7 @@
     record,
     handleChange: () => {
       lifecycle.handleConfiguration();
+      allotments.handleConfiguration();
       peerServer.announceVersion(random);
       peers.announceVersion(random);
     },
@@ -231,6 +216,18 @@
     clock,
     runAfterTurn,
   });
+  const allotments: AllotmentTask = new AllotmentTask({
+    self: settings.node,
+    clock,
+    random,
+    record,
+    metrics,
+    readTable: () => configuration.read()?.table,
+    readTolerance: () => settings.allotmentTolerance,
+    countNodes: () => countNodes(),
+    handleLimits: () => peers.update(fleet.list()),
+    readPeers: () => peers,
+  });
   const peers: PeerTask = new PeerTask({
     self,
     clock,
@@ -254,6 +251,10 @@
     handleNotice: (notice) => leavings.handleNotice(notice),
     needsNodes: () => !nodeFollower.hasContact(),
     handleActivity: () => loop.observe(),
+    chooseOwners: (nodes) => allotments.chooseOwners(nodes),
+    handleGrant: (node, message) => allotments.handleGrant(node, message),
+    handleOwnerLost: (node) => allotments.handleLost(node),
+    handleOwnerGone: (node) => allotments.handleGone(node),
     frameBudget,
   });
   const fleet: FleetTask = new FleetTask({
@@ -280,6 +281,7 @@
     handleSuspects: (suspects) => crashes.merge(suspects),
     listNotices: (node) => leavings.listNotices(node),
     handleNotice: (notice) => leavings.handleNotice(notice),
+    answerTokens: (node, message) => allotments.answer(node, message),
     readConfiguration: () => configuration.read()?.content,
     listNodes: () => fleet.list(),
     handleFault: (message) =>
@@ -346,6 +348,7 @@
     random,
     wire,
     peers,
+    allotments,
     rotation: container.get<WeightedRotation>(TOKENS.rotation),
     service: settings.service,
     record,
@@ -374,8 +377,10 @@
   metrics.watch('log_lines_dropped', () => log.countDropped());
   return {
     settings,
-    applyReloadableSettings: ({graceMs, drainMs, retryBudget}) => {
-      Object.assign(settings, {graceMs, drainMs, retryBudget});
+    applyReloadableSettings: (values) => {
+      const {graceMs, drainMs, retryBudget, allotmentTolerance} = values;
+      const changed = {graceMs, drainMs, retryBudget, allotmentTolerance};
+      Object.assign(settings, changed);
     },
     clock,
     log,
@@ -387,6 +392,7 @@
     origin,
     clients,
     peers,
+    allotments,
     peerServer,
     fleet,
     configuration,
