Notice the loss of an owner's process at once

Cause: in 2 of 4 runs of the test "allotment holds after a kill of its owner" the account below its limit got 429 (load average 20 on 7 cores). The other owners dialled the killed process again only after 100 ms, and an origin asked them only every 100 ms, so that a wait of 150 ms could end before the takeover.

Change: nodes of the owner set dial each other again at once after a loss. Origins ask owners that do not lend every 50 ms.

--- a/packages/sidecar/src/connection/linkEvents.ts
+++ b/packages/sidecar/src/connection/linkEvents.ts
@@ -16,6 +16,8 @@
   /** Called when the address refuses connections: the process is gone. */
   handleRefused(link: PeerLink): void;
   handleDown(link: PeerLink, message: string): void;
+  /** Whether to dial at once after a loss, to learn if the process is gone. */
+  needsRedial(link: PeerLink): boolean;
   /** Called when a ping timed out; other connections may be dead as well. */
   handleSilentLink(): void;
   /** Called when the node closes the link; this many calls have not run. */
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -176,6 +176,7 @@
     handleSilentLink: () => undefined,
     handleResume: (_link, calls) => resumes.push(calls),
     handleRefused: () => undefined,
+    needsRedial: () => false,
     handleForgotten: (_link, calls) => forgotten.push(calls),
     handleClosing: (_link, calls) => closings.push(calls),
   };
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -391,7 +391,8 @@
       this.peerRevision >= RESUME_REVISION &&
       !this.isRetired &&
       !this.isStopped;
-    const isUrgent = wasUp && canResume && this.pendingCalls.count() > 0;
+    const hasCalls = canResume && this.pendingCalls.count() > 0;
+    const isUrgent = wasUp && (hasCalls || this.events.needsRedial(this));
     this.release(isUrgent ? 0 : this.redialDelayMs);
     if (!wasUp) return;
     this.events.handleDown(this, message);
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -101,6 +101,8 @@
   private linksByService: ReadonlyMap<string, readonly PeerLink[]> = new Map();
   /** Moving average of the time of each kind of request, ms, by node. */
   private readonly meanTimes = new Map<string, Map<string, number>>();
+  /** Nodes that own accounts, if this node is one of them. */
+  private fellowOwners: ReadonlySet<string> = new Set();
   private localAvoidedUntilMs = 0;
   private lastProbeAllMs = -Infinity;
   private nodes: readonly NodeRecord[] = [];
@@ -150,10 +152,10 @@
    * calls only from those that have chosen them for calls.
    */
   private listOwners(nodes: readonly NodeRecord[]): readonly NodeRecord[] {
+    const self = this.parts.self.node;
     const owners = this.parts.chooseOwners(nodes);
-    return nodes.filter(
-      ({node}) => owners.has(node) && node !== this.parts.self.node,
-    );
+    this.fellowOwners = owners.has(self) ? owners : new Set();
+    return nodes.filter(({node}) => owners.has(node) && node !== self);
   }
 
   /**
@@ -361,6 +363,7 @@
         for (const node of frame.nodes) this.parts.handleNode(node);
       }
     },
+    needsRedial: ({node}) => this.fellowOwners.has(node.node),
     handleRefused: ({node}) => this.parts.handleOwnerGone(node.node),
     handleUp: (link) => {
       this.parts.record(EventCode.LINK_UP, {
--- a/packages/sycamoreyoke/src/process/allotment/constants.ts
+++ b/packages/sycamoreyoke/src/process/allotment/constants.ts
@@ -25,7 +25,7 @@
  * An owner that does not lend is not asked again for this time. It must be less
  * than MAX_WAIT_MS, so that waiting requests outlast a takeover.
  */
-export const OWNER_PAUSE_MS = 100;
+export const OWNER_PAUSE_MS = 50;
 /** Reachable owners of an account that an origin asks, the first of the order. */
 export const MAX_ASKED_OWNERS = 3;
 /** Time constant of the moving average of an account's demand. */
