Merge the allotments of client accounts

The token is taken on the head of a request, before its body is read and before it can be refused for calls that would fail; a request that does not start or has not run returns it.

--- a/packages/sidecar/src/connection/acceptedLink.ts
+++ b/packages/sidecar/src/connection/acceptedLink.ts
@@ -3,6 +3,10 @@
 import type {Clock} from 'sycamoreyoke/clock';
 import {SendEnd} from 'sycamoreyoke/request/resend';
 import type {NodeProcess} from 'sycamoreyoke/process/linkedProcesses';
+import type {
+  AskMessage,
+  GrantMessage,
+} from 'sycamoreyoke/process/allotment/allotmentNode';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import {
   ACCEPTED_SILENCE_MS,
@@ -70,6 +74,8 @@
   readonly handleNotice: (notice: LeavingNotice) => void;
   /** The budget for frames and for the calls that wait or run. */
   readonly held: Pick<HeldBytes, 'hold'>;
+  /** Answers a node that asks for tokens of client accounts. */
+  readonly answerTokens: (node: string, message: AskMessage) => GrantMessage;
 }
 
 /** Sends a frame over a link. */
@@ -93,6 +99,8 @@
   private reportedMs = -Infinity;
   /** Whether the peer belongs to the same service. */
   private isSameService = false;
+  /** Name of the peer, from its HELLO. */
+  private peerName: string | undefined;
   private session: LinkSession;
   private sessionName: string | undefined;
   private readonly transitDelay = new TransitDelay();
@@ -245,6 +253,7 @@
     switch (frame.kind) {
       case FrameKind.HELLO:
         this.peerRevision = frame.revision;
+        this.peerName = frame.node.node;
         this.openSession(frame);
         this.isSameService =
           frame.node.service === this.parts.describeSelf().node.service;
@@ -291,6 +300,13 @@
       case FrameKind.LEAVINGS:
         this.parts.handleNotice(frame.notice);
         return;
+      case FrameKind.TOKENS_ASK: {
+        if (this.peerName === undefined) return;
+        const {answerTokens} = this.parts;
+        const message = answerTokens(this.peerName, frame.message);
+        send({kind: FrameKind.TOKENS_GRANT, message});
+        return;
+      }
       case FrameKind.GET_NODES:
         send({kind: FrameKind.NODES, nodes: this.parts.listNodes()});
         return;
--- a/packages/sidecar/src/connection/linkHarness.test.ts
+++ b/packages/sidecar/src/connection/linkHarness.test.ts
@@ -155,6 +155,7 @@
     handleSuspects: () => undefined,
     listNotices: () => [],
     handleNotice: () => undefined,
+    answerTokens: (_node, {sequence}) => ({sequence, grants: [], unheard: []}),
     readConfiguration: () => undefined,
     listNodes: () => [],
     handleFault: (message) => faults.push(message),
@@ -181,6 +182,8 @@
     handleDown: (_link, message) => losses.push(message),
     handleSilentLink: () => undefined,
     handleResume: (_link, calls) => resumes.push(calls),
+    handleRefused: () => undefined,
+    needsRedial: () => false,
     handleForgotten: (_link, calls) => forgotten.push(calls),
     handleClosing: (_link, calls) => closings.push(calls),
   };
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -59,7 +59,8 @@
   private replacement: Socket | undefined;
   private lastReplacementMs = -Infinity;
   private isUp = false;
-  private peerRevision = 0;
+  /** Revision of the node's frames; 0 before its first HELLO. */
+  peerRevision = 0;
   private isStopped = false;
   private isRetired = false;
   private lastReceivedMs = 0;
@@ -214,8 +215,9 @@
       const isDialled = this.socket === socket && !this.isUp;
       this.handleEnd(socket, error.message);
       // The process that had the calls is gone, or is stopping.
-      if (isDialled && error.code === 'ECONNREFUSED')
-        this.pendingCalls.settleAll(createLoss());
+      if (!isDialled || error.code !== 'ECONNREFUSED') return;
+      this.pendingCalls.settleAll(createLoss());
+      this.events.handleRefused(this);
     });
     socket.on('close', () => {
       reader.close();
@@ -394,7 +396,8 @@
       this.peerRevision >= RESUME_REVISION &&
       !this.isRetired &&
       !this.isStopped;
-    const isUrgent = wasUp && canResume && this.pendingCalls.count() > 0;
+    const hasCalls = canResume && this.pendingCalls.count() > 0;
+    const isUrgent = wasUp && (hasCalls || this.events.needsRedial(this));
     this.release(isUrgent ? 0 : this.redialDelayMs);
     if (!wasUp) return;
     this.events.handleDown(this, message);
@@ -406,7 +409,7 @@
   private handleGoodbye(socket: Socket): void {
     socket.setTimeout(CLOSING_SILENCE_MS, () => socket.destroy());
     socket.end();
-    this.release(this.redialDelayMs);
+    this.release(this.events.needsRedial(this) ? 0 : this.redialDelayMs);
     this.events.handleClosing(this, this.pendingCalls.count());
     this.pendingCalls.settleAll(createClosingRefusal());
   }
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -4,6 +4,10 @@
   LinkedProcesses,
   NodeProcess,
 } from 'sycamoreyoke/process/linkedProcesses';
+import type {
+  AskMessage,
+  GrantMessage,
+} from 'sycamoreyoke/process/allotment/allotmentNode';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
@@ -17,7 +21,7 @@
   computeServiceMs,
   updateObservation,
 } from 'sycamoreyoke/process/serviceEstimate';
-import {FrameKind} from '../connection/frame.js';
+import {FrameKind, TOKENS_REVISION} from '../connection/frame.js';
 import type {LinkEvents} from '../connection/linkEvents.js';
 import {PeerLink} from '../connection/peerLink.js';
 import {chooseSubset, findSuccessor} from 'sycamoreyoke/process/linkSubset';
@@ -42,6 +46,7 @@
 
 import type {ConfigurationPeer} from './configurationTask.js';
 import type {HeldBytes} from './heldBytes.js';
+import {collectByService} from './serviceGroups.js';
 
 /** Dependencies of the task. */
 export interface PeerTaskParts {
@@ -77,6 +82,12 @@
   readonly handleActivity: () => void;
   /** The budget for the frames of all links. */
   readonly held: Pick<HeldBytes, 'hold'>;
+  /** Chooses nodes to link besides those that are called. */
+  readonly chooseOwners: (nodes: readonly NodeRecord[]) => ReadonlySet<string>;
+  readonly handleGrant: (node: string, message: GrantMessage) => void;
+  readonly handleOwnerLost: (node: string) => void;
+  /** Called when the address of a node refuses connections. */
+  readonly handleOwnerGone: (node: string) => void;
 }
 
 /** The node chosen for a call. */
@@ -100,6 +111,8 @@
     string,
     Map<string, ServiceObservation>
   >();
+  /** Nodes that own accounts, if this node is one of them. */
+  private fellowOwners: ReadonlySet<string> = new Set();
   private localAvoidedUntilMs = 0;
   private lastProbeAllMs = -Infinity;
   private nodes: readonly NodeRecord[] = [];
@@ -123,8 +136,10 @@
   }
 
   private applyNodes(nodes: readonly NodeRecord[]): void {
+    const callable = this.chooseNodesToLink(nodes);
+    const callableNames = new Set(callable.map(({node}) => node));
     const nodesToDial = new Map(
-      this.chooseNodesToLink(nodes).map((node) => [node.node, node]),
+      [...callable, ...this.listOwners(nodes)].map((node) => [node.node, node]),
     );
     for (const [name, link] of this.links) {
       const node = nodesToDial.get(name);
@@ -137,11 +152,22 @@
       this.links.set(name, link);
     }
     this.linksByService = collectByService(
-      this.links.values(),
+      [...this.links.values()].filter(({node}) => callableNames.has(node.node)),
       ({node}) => node.service,
     );
   }
 
+  /**
+   * Lists the other nodes that own accounts. All nodes link them, so they get
+   * calls only from those that have chosen them for calls.
+   */
+  private listOwners(nodes: readonly NodeRecord[]): readonly NodeRecord[] {
+    const self = this.parts.self.node;
+    const owners = this.parts.chooseOwners(nodes);
+    this.fellowOwners = owners.has(self) ? owners : new Set();
+    return nodes.filter(({node}) => owners.has(node) && node !== self);
+  }
+
   /**
    * Chooses some nodes of each service, and the successor in the order of
    * names, which this node watches in order to remove its row when it is gone.
@@ -161,6 +187,17 @@
     return [...(successor ? chosen.add(successor) : chosen)];
   }
 
+  /** Whether a node can be asked for tokens; undefined if it is not linked. */
+  isAskable(node: string): boolean | undefined {
+    const link = this.links.get(node);
+    return link?.isOpen() ? link.peerRevision >= TOKENS_REVISION : undefined;
+  }
+
+  /** Asks a node for tokens of client accounts. */
+  sendAsk(node: string, message: AskMessage): void {
+    this.links.get(node)?.write({kind: FrameKind.TOKENS_ASK, message});
+  }
+
   /** Chooses the best node for a call, or none if no node can take it. */
   choose(
     service: string,
@@ -347,17 +384,21 @@
       this.parts.linked.recordUp(node);
       if (this.parts.needsNodes()) link.write({kind: FrameKind.GET_NODES});
     },
-    handleFrame: (_link, frame) => {
+    handleFrame: (link, frame) => {
       if (frame.kind === FrameKind.CONFIGURATION) {
         this.parts.handleConfiguration(frame.content);
       } else if (frame.kind === FrameKind.SUSPECTS) {
         this.parts.handleSuspects(frame.suspects);
       } else if (frame.kind === FrameKind.LEAVINGS) {
         this.parts.handleNotice(frame.notice);
+      } else if (frame.kind === FrameKind.TOKENS_GRANT) {
+        this.parts.handleGrant(link.node.node, frame.message);
       } else if (frame.kind === FrameKind.NODES) {
         for (const node of frame.nodes) this.parts.handleNode(node);
       }
     },
+    needsRedial: ({node}) => this.fellowOwners.has(node.node),
+    handleRefused: ({node}) => this.parts.handleOwnerGone(node.node),
     handleUp: (link) => {
       this.parts.record(EventCode.LINK_UP, {
         node: link.node.node,
@@ -366,6 +407,7 @@
     },
     handleDown: (link, message) => {
       this.parts.linked.recordDown(link.node);
+      this.parts.handleOwnerLost(link.node.node);
       this.parts.record(EventCode.LINK_DOWN, {
         node: link.node.node,
         service: link.node.service,
@@ -388,6 +430,7 @@
       });
     },
     handleClosing: (link, calls) => {
+      this.parts.handleOwnerLost(link.node.node);
       this.parts.record(EventCode.LINK_CLOSING, {
         node: link.node.node,
         service: link.node.service,
@@ -406,20 +449,6 @@
   }
 }
 
-function collectByService<T>(
-  items: Iterable<T>,
-  readService: (item: T) => string,
-): ReadonlyMap<string, readonly T[]> {
-  const groups = new Map<string, T[]>();
-  for (const item of items) {
-    const service = readService(item);
-    const group = groups.get(service);
-    if (group) group.push(item);
-    else groups.set(service, [item]);
-  }
-  return groups;
-}
-
 function isSameProcess(first: NodeRecord, second: NodeRecord): boolean {
   return (
     first.node === second.node &&
--- a/packages/sidecar/src/request/beginOrRefuse.test.ts
+++ b/packages/sidecar/src/request/beginOrRefuse.test.ts
@@ -15,6 +15,7 @@
 } from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {SegmentPool} from '../connection/segmentList.js';
+import type {AllotmentTask} from '../process/allotmentTask.js';
 import {HeldBytes} from '../process/heldBytes.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {ParentCall} from '../process/parentCall.js';
@@ -91,6 +92,7 @@
       }),
     } as unknown as WireProtocol,
     peers: {choose: () => node} as unknown as PeerTask,
+    allotments: {} as unknown as AllotmentTask,
     rotation: new WeightedRotation(),
     held: new HeldBytes(clock, {maxBytes: 1e6, largeBytes: 1e6}),
     pool: new SegmentPool(0),
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -16,6 +16,7 @@
 import type {Random} from 'sycamoreyoke/random';
 import {DEFAULT_TIMEOUT_MS, STOP_RETRY_MS} from '../constants.js';
 import type {HeldBytes} from '../process/heldBytes.js';
+import type {AllotmentTask, Charge} from '../process/allotmentTask.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {ParentCall, ParentRequest} from '../process/parentCall.js';
 import type {ClientHead, WireProtocol} from '../types.js';
@@ -50,6 +51,7 @@
   readonly random: Random;
   readonly wire: WireProtocol;
   readonly peers: PeerTask;
+  readonly allotments: AllotmentTask;
   readonly rotation: WeightedRotation;
   readonly service: string;
   readonly record: EventRecorder;
@@ -75,8 +77,8 @@
 const MIN_RETRY_MS = 100;
 const EMPTY_BODY = new Uint8Array(0);
 
-/** A request that passed the checks of its head; its body may be missing. */
-interface AcceptedHead {
+/** What the head of a request says and decides; its body may be missing. */
+interface RequestHead {
   readonly requestId: string;
   readonly client: ClientHead;
   readonly method: string;
@@ -88,6 +90,13 @@
   readonly version: number;
 }
 
+/** A request that passed the checks of its head. */
+interface AcceptedHead extends RequestHead {
+  /** The account whose key the request has. */
+  readonly account: Account | undefined;
+  readonly isUpstreamCall: boolean;
+}
+
 /** Reads, routes and answers the requests at the outbound address. */
 export class OriginHandler {
   /** Unanswered requests, each with its call once it was routed. */
@@ -114,9 +123,60 @@
     exchange.handleClose(() => this.openRequests.delete(exchange));
     const head = this.acceptHead(exchange);
     if (!head) return;
+    if (head.account?.ratePerS === undefined) this.begin(exchange, head);
+    else this.takeToken(exchange, head, head.account);
+  }
+
+  /** Begins a client's request if its account may run another one. */
+  private takeToken(
+    exchange: ClientExchange,
+    head: AcceptedHead,
+    account: Account,
+  ): void {
+    const {route, deadlineMs} = head;
+    const {arrivedMs} = exchange;
+    const importance = chooseImportance(route, account, undefined);
+    const request = {
+      requestId: head.requestId,
+      route,
+      usefulUntilMs: computeUsefulUntil(
+        route,
+        importance,
+        arrivedMs,
+        deadlineMs,
+      ),
+      configurationVersion: head.version,
+    };
+    this.parts.allotments.take(account, request, (charge) => {
+      const isOpen = exchange.state === ExchangeState.RUNNING;
+      if (isOpen && charge.isGranted) {
+        this.begin(exchange, head, charge);
+        return;
+      }
+      charge.release();
+      if (!isOpen) return;
+      const {name} = account;
+      countRefusal(this.parts, {account: name}, 'over-allotment');
+      const message = `account ${name} has used its allotment`;
+      const {retryAfterMs} = charge;
+      this.refuse(exchange, Status.TOO_MANY_REQUESTS, message, retryAfterMs);
+    });
+  }
+
+  /** Reads the body of a request and starts it. */
+  private begin(
+    exchange: ClientExchange,
+    head: AcceptedHead,
+    charge?: Charge,
+  ): void {
+    let isStarted = false;
+    exchange.handleClose(() => {
+      if (!isStarted) charge?.release();
+    });
+    if (!head.isUpstreamCall && !this.checkBegin(exchange, head)) return;
     const {request} = exchange;
     if (!hasBody(request.rawHeaders)) {
-      this.startRequest(exchange, head, EMPTY_BODY);
+      isStarted = this.startRequest(exchange, head, EMPTY_BODY, charge);
       return;
     }
     const body = new RequestBody({
@@ -127,7 +187,7 @@
       leftMs: head.deadlineMs - this.parts.clock.readMs(),
       handle: (bytes) => {
         if (exchange.state !== ExchangeState.RUNNING) return;
-        this.startRequest(exchange, head, bytes);
+        isStarted = this.startRequest(exchange, head, bytes, charge);
       },
       handleFault: (fault) => this.refuseBody(exchange, fault),
     });
@@ -175,7 +235,7 @@
     }
     if (client.key !== undefined) exchange.markClient();
     const leftMs = client.leftMs ?? DEFAULT_TIMEOUT_MS;
-    const head: AcceptedHead = {
+    const head: RequestHead = {
       requestId: client.requestId,
       client,
       method: request.method ?? 'GET',
@@ -197,16 +257,13 @@
       return undefined;
     }
     const isUpstreamCall = parent?.isConfirmed ?? false;
-    const isBegun =
-      isUpstreamCall || this.checkBegin(exchange, head, check.account);
-    return isBegun ? head : undefined;
+    return {...head, account: check.account, isUpstreamCall};
   }
 
   /** Refuses a client's request whose calls would probably fail. */
   private checkBegin(
     exchange: ClientExchange,
-    {requestId, route, client}: AcceptedHead,
-    account: Account | undefined,
+    {requestId, route, client, account}: AcceptedHead,
   ): boolean {
     const importance = chooseImportance(route, account, undefined);
     const leftMs = client.leftMs ?? DEFAULT_TIMEOUT_MS;
@@ -221,24 +278,25 @@
     return false;
   }
 
-  /** Starts a request that is complete. */
+  /** Starts a request that is complete, unless it is refused now. */
   private startRequest(
     exchange: ClientExchange,
     head: AcceptedHead,
     body: BodyBytes,
-  ): void {
+    charge: Charge | undefined,
+  ): boolean {
     const {arrivedMs} = exchange;
     const {client, route} = head;
     const leftMs = client.leftMs ?? DEFAULT_TIMEOUT_MS;
     const parent = this.startChildCall(exchange, arrivedMs + leftMs);
     // Keys and the node's state may have changed while the body arrived.
     const check = this.checkRequest(exchange, head, parent);
-    if (!check) return;
+    if (!check) return false;
     const stop = this.parts.readStopSchedule();
     const deadlineMs =
       parent && stop ? stop.clampDeadline(head.deadlineMs) : head.deadlineMs;
     const importance = chooseImportance(route, check.account, parent);
-    this.start(exchange, {
+    const routed: RoutedRequest = {
       requestId: head.requestId,
       route,
       service: head.service,
@@ -259,13 +317,15 @@
       parentId: parent?.requestId,
       readParentWork: parent && (() => parent.readWork()),
       account: check.account?.name ?? parent?.account,
-    });
+    };
+    this.start(exchange, routed, charge);
+    return true;
   }
 
   /** Checks the key and the stop of the node; refuses what does not pass. */
   private checkRequest(
     exchange: ClientExchange,
-    head: AcceptedHead,
+    head: RequestHead,
     parent: ParentRequest | undefined,
   ): {account: Account | undefined} | undefined {
     const {client, route, deadlineMs, version} = head;
@@ -323,7 +383,11 @@
     this.refuse(exchange, Status.UNAUTHORIZED, 'the key is missing or unknown');
   }
 
-  private start(exchange: ClientExchange, routed: RoutedRequest): void {
+  private start(
+    exchange: ClientExchange,
+    routed: RoutedRequest,
+    charge: Charge | undefined,
+  ): void {
     const {clock, peers, service, record} = this.parts;
     const {metrics, accountMetrics, readRetryBudget} = this.parts;
     const call = new OriginCall(routed, {
@@ -334,7 +398,10 @@
       metrics,
       accountMetrics,
       readRetryBudget,
-      handle: (answer) => this.answer(exchange, routed, answer),
+      handle: (answer) => {
+        if (answer.kind === AnswerKind.NOT_RUN) charge?.release();
+        this.answer(exchange, routed, answer);
+      },
     });
     this.openRequests.set(exchange, call);
     exchange.handleClose((isCut) => {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -105,6 +105,8 @@
     await this.takeRequests(schedule);
     await parts.clients.stopAccepting();
     const leftMs = Math.max(0, schedule.answerMs - parts.clock.readMs());
+    // From here on the address refuses connections, so the next owner lends.
+    parts.allotments.retire();
     const closingLinks = parts.peerServer.close(leftMs);
     await this.finishRequests(schedule);
     await this.endConnections(schedule);
@@ -122,6 +124,7 @@
       server.closeAllConnections();
     }
     parts.peers.stop();
+    parts.allotments.stop();
     parts.upstream.stop();
     parts.crashes.stop();
     parts.configuration.stop();
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -1,6 +1,7 @@
 /** Types shared by the sidecar's tasks, and the interfaces of its adapter. */
 import type {BodyBytes} from './connection/bodyBytes.js';
 import {isIP} from 'node:net';
+import type {AllotmentTolerance} from 'sycamoreyoke/process/allotment/types';
 import type {Importance} from 'sycamoreyoke/types';
 import type {SendEnd} from 'sycamoreyoke/request/resend';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
@@ -247,6 +248,8 @@
     /** Additional retries that the whole deployment may make. */
     readonly slack: number;
   };
+  /** Tolerated excess over the allotments of client accounts, if any. */
+  readonly allotmentTolerance: AllotmentTolerance | undefined;
 }
 
 /** Settings of a sidecar. */
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -11,7 +11,6 @@
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
 import {isStarted} from 'sycamoreyoke/process/startPhase';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
-import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import type {UpstreamPresence} from 'sycamoreyoke/process/upstreamPresence';
 import {isChosenToQuery} from 'sycamoreyoke/process/watchTime';
 import type {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
@@ -29,7 +28,7 @@
   ConfigurationSource,
   ConfigurationTask,
 } from './process/configurationTask.js';
-import type {CrashMark} from './process/crashTask.js';
+import {AllotmentTask} from './process/allotmentTask.js';
 import {CrashTask} from './process/crashTask.js';
 import type {DecisionLog} from './process/decisionLog.js';
 import {runAfterTurn} from './process/eventLoop.js';
@@ -48,30 +47,14 @@
 import {UpstreamTask} from './process/upstreamTask.js';
 import {BeginCheck} from './request/beginCheck.js';
 import {OriginHandler} from './request/originHandler.js';
+import type {SidecarAdapter} from './sidecarAdapter.js';
 import type {
-  ConfigurationDecoder,
-  FleetStore,
   NodeRecord,
   NodeReport,
   ReloadableSettings,
   SidecarSettings,
-  WireProtocol,
 } from './types.js';
 
-/** Settings, protocols and codecs that an adapter provides. */
-export interface SidecarAdapter {
-  readonly settings: SidecarSettings;
-  readonly wire: WireProtocol;
-  readonly store: FleetStore;
-  readonly decodeConfiguration: ConfigurationDecoder;
-  readonly encodeNode: (node: NodeRecord) => Uint8Array;
-  readonly decodeNode: (content: Uint8Array) => NodeRecord | undefined;
-  readonly encodeMark: (mark: CrashMark) => Uint8Array;
-  readonly decodeMark: (content: Uint8Array) => CrashMark | undefined;
-  readonly encodeLeavings: (leavings: readonly UpstreamLeaving[]) => Uint8Array;
-  readonly decodeLeavings: (content: Uint8Array) => readonly UpstreamLeaving[];
-}
-
 /** The parts of a sidecar that its process and its adapter use. */
 export interface SidecarParts {
   /** Updated by applyReloadableSettings, so read values at each use. */
@@ -88,6 +71,7 @@
   readonly origin: OriginHandler;
   readonly clients: ClientListener;
   readonly peers: PeerTask;
+  readonly allotments: AllotmentTask;
   readonly peerServer: PeerServer;
   readonly fleet: FleetTask;
   readonly configuration: ConfigurationTask;
@@ -138,6 +122,7 @@
     record,
     handleChange: () => {
       lifecycle.handleConfiguration();
+      allotments.handleConfiguration();
       peerServer.announceVersion(random);
       peers.announceVersion(random);
     },
@@ -248,6 +233,18 @@
   });
   const held = new HeldBytes(clock, memory.held);
   const loop = new LoopWatch({clock, runAfterTurn});
+  const allotments: AllotmentTask = new AllotmentTask({
+    self: settings.node,
+    clock,
+    random,
+    record,
+    metrics,
+    readTable: () => configuration.read()?.table,
+    readTolerance: () => settings.allotmentTolerance,
+    countNodes: () => countNodes(),
+    handleLimits: () => peers.update(fleet.list()),
+    readPeers: () => peers,
+  });
   const peers: PeerTask = new PeerTask({
     self,
     clock,
@@ -274,6 +271,10 @@
     needsNodes: () => !nodeFollower.hasContact(),
     handleActivity: () => loop.observe(),
     held,
+    chooseOwners: (nodes) => allotments.chooseOwners(nodes),
+    handleGrant: (node, message) => allotments.handleGrant(node, message),
+    handleOwnerLost: (node) => allotments.handleLost(node),
+    handleOwnerGone: (node) => allotments.handleGone(node),
   });
   const fleet: FleetTask = new FleetTask({
     self,
@@ -301,6 +302,7 @@
     handleSuspects: (suspects) => crashes.merge(suspects),
     listNotices: (process) => leavings.listNotices(process),
     handleNotice: (notice) => leavings.handleNotice(notice),
+    answerTokens: (node, message) => allotments.answer(node, message),
     readConfiguration: () => configuration.read()?.content,
     listNodes: () => fleet.list(),
     handleFault: (message) =>
@@ -332,6 +334,7 @@
     peers,
     held,
     pool: new SegmentPool(memory.held.maxBytes / 2),
+    allotments,
     rotation: container.get<WeightedRotation>(TOKENS.rotation),
     service: settings.service,
     record,
@@ -370,8 +373,10 @@
   metrics.watch('log_lines_dropped', () => log.countDropped());
   return {
     settings,
-    applyReloadableSettings: ({graceMs, drainMs, retryBudget}) => {
-      Object.assign(settings, {graceMs, drainMs, retryBudget});
+    applyReloadableSettings: (values) => {
+      const {graceMs, drainMs, retryBudget, allotmentTolerance} = values;
+      const changed = {graceMs, drainMs, retryBudget, allotmentTolerance};
+      Object.assign(settings, changed);
     },
     clock,
     log,
@@ -384,6 +389,7 @@
     origin,
     clients,
     peers,
+    allotments,
     peerServer,
     fleet,
     configuration,
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -149,6 +149,14 @@
     'isEarly: whether the client returned before the time that it was told',
     'retryMs: advised delay, ms',
   ),
+  [EventCode.REQUEST_OVER_ALLOTMENT]: describe(
+    'The client account has used its allotment; the request has not run.',
+    'account',
+    'route',
+    'cause: over-limit, or no-owner if no node that lends tokens could be asked',
+    'retryMs: time until a token is expected, ms',
+    'version: configuration version',
+  ),
   [EventCode.CALL_ROUTED]: describe(
     'The egress sent a call to a member.',
     'service',
