--- a/packages/sidecar/src/connection/clientListener.ts
+++ b/packages/sidecar/src/connection/clientListener.ts
@@ -3,6 +3,7 @@
 import {Server} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {setImmediate as waitForPoll} from 'node:timers/promises';
+import {EventCode} from 'sycamoreyoke/process/events';
 import type {ListenerBounds} from '../process/httpListeners.js';
 import {
   LISTENER_OPTIONS,
@@ -107,7 +108,7 @@
   private add(socket: Socket): void {
     if (this.connections.size >= this.parts.maxConnections) {
       const unused = this.findUnused();
-      this.parts.metrics.count('client_connections_dropped_total');
+      this.recordDropped(!unused);
       (unused ?? socket).destroy();
       if (!unused) return;
       this.connections.delete(unused);
@@ -119,6 +120,13 @@
     socket.once('close', () => this.connections.delete(socket));
   }
 
+  private recordDropped(isNew: boolean): void {
+    const {maxConnections, metrics, record} = this.parts;
+    const details = {connections: maxConnections, isNew};
+    metrics.count('client_connections_dropped_total');
+    record(EventCode.CLIENT_CONNECTION_DROPPED, details);
+  }
+
   /**
    * Finds the connection to close for a new one: the oldest that has brought no
    * request, or else the oldest that has none open.
--- a/packages/sidecar/src/process/heldBytes.ts
+++ b/packages/sidecar/src/process/heldBytes.ts
@@ -25,7 +25,12 @@
   private readonly admission: ByteAdmission<HeldBody>;
   private timer: NodeJS.Timeout | undefined;
 
-  constructor(clock: Clock, limits: AdmissionLimits) {
+  constructor(
+    clock: Clock,
+    limits: AdmissionLimits,
+    /** Called with the length of a frame that does not fit. */
+    private readonly handleSkipped: (bytes: number) => void = () => undefined,
+  ) {
     this.admission = new ByteAdmission(clock, limits);
   }
 
@@ -70,7 +75,9 @@
     };
     const change = this.admission.hold(frame, bytes);
     this.apply(change);
-    return change.isHeld ? () => this.release(frame) : undefined;
+    if (change.isHeld) return () => this.release(frame);
+    this.handleSkipped(bytes);
+    return undefined;
   }
 
   private tick(): void {
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -45,6 +45,7 @@
 import {runAfterTurn} from './process/eventLoop.js';
 import {computeMaxClients} from './process/descriptorLimits.js';
 import {FleetTask} from './process/fleetTask.js';
+import {watchGauges} from './process/gauges.js';
 import {HeldBytes} from './process/heldBytes.js';
 import {LeavingTask, isLeavingRow} from './process/leavingTask.js';
 import {LoopWatch} from './process/loopWatch.js';
@@ -228,7 +229,11 @@
     configurationVersion: configuration.readVersion(),
     load: describeOwnLoad(),
   });
-  const held = new HeldBytes(clock, memory.held);
+  const held: HeldBytes = new HeldBytes(clock, memory.held, (bytes) => {
+    metrics.count('frames_skipped_total');
+    const heldBytes = held.countBytes();
+    record(EventCode.FRAME_SKIPPED, {bytes, heldBytes});
+  });
   const loop = new LoopWatch({clock, runAfterTurn});
   const peers: PeerTask = new PeerTask({
     self,
@@ -369,15 +374,7 @@
     },
     (exchange) => origin.handle(exchange),
   );
-  metrics.watch('gate_running', () => upstream.describeLoad().running);
-  metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
-  metrics.watch('gate_limit', () => upstream.describeLoad().limit);
-  metrics.watch('client_connections', () => clients.countConnections());
-  metrics.watch('held_bytes', () => held.countBytes());
-  metrics.watch('bodies_waiting', () => held.countWaiting());
-  metrics.watch('links_open', () => peers.countOpen());
-  metrics.watch('configuration_version', () => configuration.readVersion());
-  metrics.watch('log_lines_dropped', () => log.countDropped());
+  watchGauges(metrics, {upstream, peers, configuration, log, clients, held});
   return {
     settings,
     applyReloadableSettings: ({graceMs, drainMs, retryBudget}) => {
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -169,6 +169,16 @@
     'unwritten',
     'isStopping',
   ),
+  [EventCode.CLIENT_CONNECTION_DROPPED]: describe(
+    'At the limit of client connections, one without an open request was closed for a new one, or the new one was closed.',
+    'connections: limit',
+    'isNew: whether the new one was closed',
+  ),
+  [EventCode.FRAME_SKIPPED]: describe(
+    'A frame of another node was not kept, as the budget of held bytes is used up. A call in it is refused as not run, a result is lost.',
+    'bytes: length of the frame',
+    'heldBytes',
+  ),
   [EventCode.CLAIM_MADE]: describe(
     'The row of an idempotency key is held by this node.',
     'elapsedMs: ms',
