--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -34,6 +34,7 @@
 import {runAfterTurn} from './process/eventLoop.js';
 import {computeMaxClients} from './process/descriptorLimits.js';
 import {FleetTask} from './process/fleetTask.js';
+import {watchGauges} from './process/gauges.js';
 import {HeldBytes} from './process/heldBytes.js';
 import {LeavingTask} from './process/leavingTask.js';
 import {LoopWatch} from './process/loopWatch.js';
@@ -231,7 +232,11 @@
     configurationVersion: configuration.readVersion(),
     load: describeOwnLoad(),
   });
-  const held = new HeldBytes(clock, memory.held);
+  const held: HeldBytes = new HeldBytes(clock, memory.held, (bytes) => {
+    metrics.count('frames_skipped_total');
+    const heldBytes = held.countBytes();
+    record(EventCode.FRAME_SKIPPED, {bytes, heldBytes});
+  });
   const loop = new LoopWatch({clock, runAfterTurn});
   const allotments: AllotmentTask = new AllotmentTask({
     self: settings.node,
@@ -360,17 +365,9 @@
     (exchange) => origin.handle(exchange),
   );
   metrics.collect('account_requests_total', () => accountMetrics.list());
-  metrics.watch('gate_running', () => upstream.describeLoad().running);
-  metrics.watch('gate_waiting', () => upstream.describeLoad().waiting);
-  metrics.watch('gate_limit', () => upstream.describeLoad().limit);
   metrics.watch('gate_kinds_throttled', () => upstream.countThrottled());
   metrics.watch('routes_throttled', () => beginCheck.countThrottled());
-  metrics.watch('client_connections', () => clients.countConnections());
-  metrics.watch('held_bytes', () => held.countBytes());
-  metrics.watch('bodies_waiting', () => held.countWaiting());
-  metrics.watch('links_open', () => peers.countOpen());
-  metrics.watch('configuration_version', () => configuration.readVersion());
-  metrics.watch('log_lines_dropped', () => log.countDropped());
+  watchGauges(metrics, {upstream, peers, configuration, log, clients, held});
   return {
     settings,
     applyReloadableSettings: (values) => {
