--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -81,7 +81,6 @@
     readonly node: NodeRecord,
     private readonly clock: Clock,
     private readonly events: LinkEvents,
-    /** The budget for the frames of all links. */
     private readonly held: Pick<HeldBytes, 'hold'>,
   ) {
     this.lostMs = clock.readMs();
@@ -392,10 +391,8 @@
     if (this.replacement === socket) this.replacement = undefined;
     if (this.socket !== socket) return;
     const wasUp = this.isUp;
-    const canResume =
-      this.peerRevision >= RESUME_REVISION &&
-      !this.isRetired &&
-      !this.isStopped;
+    const isWanted = !this.isRetired && !this.isStopped;
+    const canResume = isWanted && this.peerRevision >= RESUME_REVISION;
     const hasCalls = canResume && this.pendingCalls.count() > 0;
     const isUrgent = wasUp && (hasCalls || this.events.needsRedial(this));
     this.release(isUrgent ? 0 : this.redialDelayMs);
--- a/packages/sidecar/src/process/peerTask.ts
+++ b/packages/sidecar/src/process/peerTask.ts
@@ -1,16 +1,6 @@
 /** Manages the links to other nodes and chooses the node for each call. */
-import type {Clock} from 'sycamoreyoke/clock';
-import type {
-  LinkedProcesses,
-  NodeProcess,
-} from 'sycamoreyoke/process/linkedProcesses';
-import type {
-  AskMessage,
-  GrantMessage,
-} from 'sycamoreyoke/process/allotment/allotmentNode';
+import type {AskMessage} from 'sycamoreyoke/process/allotment/allotmentNode';
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
-import type {EventRecorder} from 'sycamoreyoke/process/events';
-import {EventCode} from 'sycamoreyoke/process/events';
 import type {
   PlacementCandidate,
   UpstreamLoad,
@@ -24,6 +14,12 @@
 import {FrameKind, TOKENS_REVISION} from '../connection/frame.js';
 import type {LinkEvents} from '../connection/linkEvents.js';
 import {PeerLink} from '../connection/peerLink.js';
+import {
+  createLinkEvents,
+  isSameProcess,
+  sendSuspectsTo,
+} from './peerLinkEvents.js';
+import type {PeerTaskParts} from './peerTaskParts.js';
 import {chooseSubset, findSuccessor} from 'sycamoreyoke/process/linkSubset';
 import type {Random} from 'sycamoreyoke/random';
 import {sampleEvenly} from 'sycamoreyoke/random';
@@ -36,60 +32,14 @@
   LINK_UPDATE_MS,
 } from '../constants.js';
 import type {
-  LeavingNotice,
   NodeRecord,
-  NodeReport,
   OutgoingCall,
   PendingCall,
   ResultHandler,
 } from '../types.js';
 
-import type {ConfigurationPeer} from './configurationTask.js';
-import type {HeldBytes} from './heldBytes.js';
 import {collectByService} from './serviceGroups.js';
 
-/** Dependencies of the task. */
-export interface PeerTaskParts {
-  readonly self: NodeRecord;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly record: EventRecorder;
-  readonly describeReport: () => NodeReport;
-  /** Offers a call to this node's own gate, which needs no link. */
-  readonly offerLocally: (
-    call: OutgoingCall,
-    handle: ResultHandler,
-  ) => PendingCall;
-  readonly handlePeerVersion: (
-    version: number,
-    peer: ConfigurationPeer,
-  ) => void;
-  /** Called when a link is silent; connections to the store may be, too. */
-  readonly handleSilentLink: () => void;
-  readonly handleConfiguration: (content: Uint8Array) => void;
-  readonly handleNode: (node: NodeRecord) => void;
-  /** Called with a node at whose address another node has answered. */
-  readonly handleReplacedNode: (node: NodeRecord) => void;
-  readonly listSuspects: () => readonly CrashSuspect[];
-  readonly handleSuspects: (suspects: readonly CrashSuspect[]) => void;
-  readonly linked: LinkedProcesses;
-  /** Lists what a node has to know that has just been linked. */
-  readonly listNotices: (process: NodeProcess) => readonly LeavingNotice[];
-  readonly handleNotice: (notice: LeavingNotice) => void;
-  /** Whether to ask peers for the node list, as the store is unreachable. */
-  readonly needsNodes: () => boolean;
-  /** Called when bytes of a node are read. */
-  readonly handleActivity: () => void;
-  /** The budget for the frames of all links. */
-  readonly held: Pick<HeldBytes, 'hold'>;
-  /** Chooses nodes to link besides those that are called. */
-  readonly chooseOwners: (nodes: readonly NodeRecord[]) => ReadonlySet<string>;
-  readonly handleGrant: (node: string, message: GrantMessage) => void;
-  readonly handleOwnerLost: (node: string) => void;
-  /** Called when the address of a node refuses connections. */
-  readonly handleOwnerGone: (node: string) => void;
-}
-
 /** The node chosen for a call. */
 export interface ChosenNode {
   readonly node: string;
@@ -122,6 +72,9 @@
   private readonly timer: NodeJS.Timeout;
 
   constructor(private readonly parts: PeerTaskParts) {
+    this.events = createLinkEvents(parts, (node) =>
+      this.fellowOwners.has(node),
+    );
     this.timer = setInterval(() => this.tick(), LINK_TICK_MS);
   }
 
@@ -362,98 +315,5 @@
     this.observations.delete(name);
   }
 
-  private readonly events: LinkEvents = {
-    handleActivity: () => this.parts.handleActivity(),
-    describeSelf: () => ({
-      node: this.parts.self,
-      report: this.parts.describeReport(),
-    }),
-    handleReport: (link, {configurationVersion}) => {
-      this.parts.handlePeerVersion(configurationVersion, link);
-    },
-    handleHello: (link, node) => {
-      if (!isSameProcess(node, link.node)) this.parts.handleNode(node);
-      if (node.node !== link.node.node)
-        this.parts.handleReplacedNode(link.node);
-      if (node.service === this.parts.self.service) {
-        sendSuspectsTo(link, this.parts.listSuspects());
-      }
-      for (const notice of this.parts.listNotices(node)) {
-        link.sendOptional({kind: FrameKind.LEAVINGS, notice});
-      }
-      this.parts.linked.recordUp(node);
-      if (this.parts.needsNodes()) link.write({kind: FrameKind.GET_NODES});
-    },
-    handleFrame: (link, frame) => {
-      if (frame.kind === FrameKind.CONFIGURATION) {
-        this.parts.handleConfiguration(frame.content);
-      } else if (frame.kind === FrameKind.SUSPECTS) {
-        this.parts.handleSuspects(frame.suspects);
-      } else if (frame.kind === FrameKind.LEAVINGS) {
-        this.parts.handleNotice(frame.notice);
-      } else if (frame.kind === FrameKind.TOKENS_GRANT) {
-        this.parts.handleGrant(link.node.node, frame.message);
-      } else if (frame.kind === FrameKind.NODES) {
-        for (const node of frame.nodes) this.parts.handleNode(node);
-      }
-    },
-    needsRedial: ({node}) => this.fellowOwners.has(node.node),
-    handleRefused: ({node}) => this.parts.handleOwnerGone(node.node),
-    handleUp: (link) => {
-      this.parts.record(EventCode.LINK_UP, {
-        node: link.node.node,
-        service: link.node.service,
-      });
-    },
-    handleDown: (link, message) => {
-      this.parts.linked.recordDown(link.node);
-      this.parts.handleOwnerLost(link.node.node);
-      this.parts.record(EventCode.LINK_DOWN, {
-        node: link.node.node,
-        service: link.node.service,
-        message,
-      });
-    },
-    handleSilentLink: () => this.parts.handleSilentLink(),
-    handleResume: (link, calls) => {
-      this.parts.record(EventCode.LINK_RESUMED, {
-        node: link.node.node,
-        service: link.node.service,
-        calls,
-      });
-    },
-    handleForgotten: (link, calls) => {
-      this.parts.record(EventCode.LINK_CALLS_FORGOTTEN, {
-        node: link.node.node,
-        service: link.node.service,
-        calls,
-      });
-    },
-    handleClosing: (link, calls) => {
-      this.parts.handleOwnerLost(link.node.node);
-      this.parts.record(EventCode.LINK_CLOSING, {
-        node: link.node.node,
-        service: link.node.service,
-        calls,
-      });
-    },
-  };
-}
-
-function sendSuspectsTo(
-  link: PeerLink,
-  suspects: readonly CrashSuspect[],
-): void {
-  if (suspects.length > 0) {
-    link.sendOptional({kind: FrameKind.SUSPECTS, suspects});
-  }
-}
-
-function isSameProcess(first: NodeRecord, second: NodeRecord): boolean {
-  return (
-    first.node === second.node &&
-    first.incarnation === second.incarnation &&
-    first.address.host === second.address.host &&
-    first.address.port === second.address.port
-  );
+  private readonly events: LinkEvents;
 }
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -1,76 +1,34 @@
 /** Handles the requests that arrive at the outbound address. */
-import type {Clock} from 'sycamoreyoke/clock';
-import type {AccountMetrics} from 'sycamoreyoke/process/accountMetrics';
-import type {EventDetails, EventRecorder} from 'sycamoreyoke/process/events';
-import {EventCode} from 'sycamoreyoke/process/events';
-import type {Metrics} from 'sycamoreyoke/process/metrics';
 import {RequestTimes} from 'sycamoreyoke/process/requestTimes';
-import type {RetryAllowance} from 'sycamoreyoke/process/retryAllowance';
-import type {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {Account} from 'sycamoreyoke/version/accounts';
 import {CredentialCheck, checkCredentials} from 'sycamoreyoke/version/accounts';
-import {KeyHistory} from 'sycamoreyoke/version/keyHistory';
-import type {Route, RouteTable} from 'sycamoreyoke/version/routeTable';
+import type {Route} from 'sycamoreyoke/version/routeTable';
 import {findRoute} from 'sycamoreyoke/version/routeTable';
-import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
-import type {Random} from 'sycamoreyoke/random';
-import {DEFAULT_TIMEOUT_MS, STOP_RETRY_MS} from '../constants.js';
-import type {HeldBytes} from '../process/heldBytes.js';
-import type {AllotmentTask, Charge} from '../process/allotmentTask.js';
-import type {PeerTask} from '../process/peerTask.js';
+import {DEFAULT_TIMEOUT_MS} from '../constants.js';
+import type {Charge} from '../process/allotmentTask.js';
 import type {ParentCall, ParentRequest} from '../process/parentCall.js';
-import type {ClientHead, WireProtocol} from '../types.js';
+import type {ClientHead} from '../types.js';
 import {GateReason} from '../types.js';
-import type {BeginCheck} from './beginCheck.js';
 import type {Answer, RoutedRequest} from './originCall.js';
 import type {BodyBytes} from '../connection/bodyBytes.js';
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
-import type {SegmentPool} from '../connection/segmentList.js';
-import {
-  countRefusal,
-  describeAccount,
-  describeKeyFault,
-} from './accountDetails.js';
-import {forwardResponse, refuseExchange} from './exchangeAnswers.js';
+import {countRefusal, describeAccount} from './accountDetails.js';
+import {forwardResponse} from './exchangeAnswers.js';
 import {AnswerKind, OriginCall} from './originCall.js';
-import {BODY_REFUSALS, Status, buildRefusal} from './refusal.js';
+import type {OriginHandlerParts} from './originHandlerParts.js';
+import {Status} from './refusal.js';
 import {
   BodyFault,
   RequestBody,
   hasBody,
   readAnnouncedBytes,
 } from './requestBody.js';
+import {RequestRefusals} from './requestRefusals.js';
 import {chooseImportance, computeUsefulUntil} from './routeChoice.js';
 import {isAcceptedDuringStop} from './stopAcceptance.js';
 
-/** Dependencies of the handler. */
-export interface OriginHandlerParts {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly wire: WireProtocol;
-  readonly peers: PeerTask;
-  readonly allotments: AllotmentTask;
-  readonly rotation: WeightedRotation;
-  readonly service: string;
-  readonly record: EventRecorder;
-  readonly metrics: Metrics;
-  /** The budget for the bodies of requests. */
-  readonly held: HeldBytes;
-  readonly pool: SegmentPool;
-  readonly accountMetrics: AccountMetrics;
-  readonly readTable: () => RouteTable | undefined;
-  readonly readRetryBudget: (service: string) => RetryAllowance;
-  readonly beginCheck: BeginCheck;
-  /** Finds the running request for which the upstream makes a call, if any. */
-  readonly findParent: (deadlineMs: number) => ParentRequest | undefined;
-  /** The same, and counts the call as open until it is finished. */
-  readonly startChildCall: (deadlineMs: number) => ParentCall | undefined;
-  /** Returns the schedule of the stop once the node is stopping. */
-  readonly readStopSchedule: () => StopSchedule | undefined;
-}
-
 /** Retry delay advised to clients until the first configuration arrives. */
 const START_RETRY_MS = 300;
 /** Shortest retry delay advised to clients. */
@@ -107,9 +65,11 @@
 
   private handled = 0;
   private readonly requestTimes = new RequestTimes();
-  private readonly keyHistory = new KeyHistory();
+  private readonly refusals: RequestRefusals;
 
-  constructor(private readonly parts: OriginHandlerParts) {}
+  constructor(private readonly parts: OriginHandlerParts) {
+    this.refusals = new RequestRefusals(parts);
+  }
 
   /** Counts the requests since the start. */
   countHandled(): number {
@@ -123,7 +83,7 @@
     exchange.handleClose(() => this.openRequests.delete(exchange));
     const head = this.acceptHead(exchange);
     if (!head) return;
-    if (head.account?.ratePerS === undefined) this.begin(exchange, head);
+    if (head.account?.ratePerS === undefined) this.receive(exchange, head);
     else this.takeToken(exchange, head, head.account);
   }
 
@@ -150,7 +110,7 @@
     this.parts.allotments.take(account, request, (charge) => {
       const isOpen = exchange.state === ExchangeState.RUNNING;
       if (isOpen && charge.isGranted) {
-        this.begin(exchange, head, charge);
+        this.receive(exchange, head, charge);
         return;
       }
       charge.release();
@@ -159,12 +119,17 @@
       countRefusal(this.parts, {account: name}, 'over-allotment');
       const message = `account ${name} has used its allotment`;
       const {retryAfterMs} = charge;
-      this.refuse(exchange, Status.TOO_MANY_REQUESTS, message, retryAfterMs);
+      this.refusals.refuse(
+        exchange,
+        Status.TOO_MANY_REQUESTS,
+        message,
+        retryAfterMs,
+      );
     });
   }
 
   /** Reads the body of a request and starts it. */
-  private begin(
+  private receive(
     exchange: ClientExchange,
     head: AcceptedHead,
     charge?: Charge,
@@ -189,7 +154,7 @@
         if (exchange.state !== ExchangeState.RUNNING) return;
         isStarted = this.startRequest(exchange, head, bytes, charge);
       },
-      handleFault: (fault) => this.refuseBody(exchange, fault),
+      handleFault: (fault) => this.refusals.refuseBody(exchange, fault),
     });
     exchange.handleClose(() => body.close());
     body.start();
@@ -200,7 +165,7 @@
     for (const [exchange, call] of this.openRequests) {
       if (exchange.state !== ExchangeState.RUNNING) continue;
       if (call) call.end(GateReason.NODE_STOPPING);
-      else this.refuseStopping(exchange);
+      else this.refusals.refuseStopping(exchange);
     }
   }
 
@@ -211,14 +176,23 @@
     const table = this.parts.readTable();
     if (!table) {
       const message = 'no configuration has arrived yet';
-      this.refuseEarly(exchange, Status.UNAVAILABLE, message, START_RETRY_MS);
+      this.refusals.refuseEarly(
+        exchange,
+        Status.UNAVAILABLE,
+        message,
+        START_RETRY_MS,
+      );
       return undefined;
     }
-    this.keyHistory.update(table.accounts);
+    this.refusals.update(table.accounts);
     const client = this.parts.wire.readClientHead(rawHeaders);
     const host = getHeader(rawHeaders, 'host');
     if (client.requestId === undefined || host === undefined) {
-      this.refuseEarly(exchange, Status.BAD_REQUEST, 'no request id or host');
+      this.refusals.refuseEarly(
+        exchange,
+        Status.BAD_REQUEST,
+        'no request id or host',
+      );
       return undefined;
     }
     const path = request.url ?? '/';
@@ -229,8 +203,8 @@
       const {version} = table;
       const account = describeAccount(table.accounts, client.key);
       const place = {host, path, version, ...account};
-      this.recordUnrouted(client.requestId, place);
-      this.refuse(exchange, Status.NOT_FOUND, 'no route matches');
+      this.refusals.recordUnrouted(client.requestId, place);
+      this.refusals.refuse(exchange, Status.NOT_FOUND, 'no route matches');
       return undefined;
     }
     if (client.key !== undefined) exchange.markClient();
@@ -253,7 +227,7 @@
     const check = this.checkRequest(exchange, head, parent);
     if (!check) return undefined;
     if ((readAnnouncedBytes(rawHeaders) ?? 0) > head.maxBodyBytes) {
-      this.refuseBody(exchange, BodyFault.TOO_LARGE);
+      this.refusals.refuseBody(exchange, BodyFault.TOO_LARGE);
       return undefined;
     }
     const isUpstreamCall = parent?.isConfirmed ?? false;
@@ -274,7 +248,7 @@
     if (retryMs === undefined) return true;
     countRefusal(this.parts, name ? {account: name} : {}, 'not-begun');
     const message = 'calls of the request would fail';
-    this.refuse(exchange, Status.UNAVAILABLE, message, retryMs);
+    this.refusals.refuse(exchange, Status.UNAVAILABLE, message, retryMs);
     return false;
   }
 
@@ -338,7 +312,7 @@
       },
     );
     if (check === CredentialCheck.UNKNOWN) {
-      this.refuseUnauthenticated(exchange, client, route, version);
+      this.refusals.refuseUnauthenticated(exchange, client, route, version);
       return undefined;
     }
     const stop = this.parts.readStopSchedule();
@@ -346,7 +320,7 @@
     const usualMs = this.requestTimes.computeUpperMs(route.name);
     const times = {nowMs, deadlineMs, usualMs};
     if (stop && !isAcceptedDuringStop(stop, parent, times)) {
-      this.refuseStopping(exchange);
+      this.refusals.refuseStopping(exchange);
       return undefined;
     }
     return {account};
@@ -366,23 +340,6 @@
     return parent;
   }
 
-  private refuseUnauthenticated(
-    exchange: ClientExchange,
-    {requestId, key}: ClientHead,
-    route: Route,
-    version: number,
-  ): void {
-    const fault = describeKeyFault(this.keyHistory, key);
-    this.parts.metrics.count('requests_unauthenticated_total');
-    countRefusal(this.parts, fault, 'unauthenticated');
-    this.parts.record(
-      EventCode.REQUEST_UNAUTHENTICATED,
-      {...fault, route: route.name, version},
-      requestId,
-    );
-    this.refuse(exchange, Status.UNAUTHORIZED, 'the key is missing or unknown');
-  }
-
   private start(
     exchange: ClientExchange,
     routed: RoutedRequest,
@@ -426,7 +383,7 @@
     if (kind === AnswerKind.NOT_RUN) {
       const message = `request ${requestId} was not run: ${result.reason}`;
       const retryMs = Math.max(MIN_RETRY_MS, result.retryAfterMs);
-      this.refuse(exchange, Status.UNAVAILABLE, message, retryMs);
+      this.refusals.refuse(exchange, Status.UNAVAILABLE, message, retryMs);
       return;
     }
     const status =
@@ -434,51 +391,6 @@
         ? Status.GATEWAY_TIMEOUT
         : Status.BAD_GATEWAY;
     const message = `request ${requestId} may have run: ${result.reason}`;
-    this.refuse(exchange, status, message);
-  }
-
-  private refuse(
-    exchange: ClientExchange,
-    status: Status,
-    message: string,
-    retryMs?: number,
-  ): void {
-    const {random} = this.parts;
-    refuseExchange(exchange, buildRefusal(status, message, retryMs, random));
-  }
-
-  private refuseBody(exchange: ClientExchange, fault: BodyFault): void {
-    if (exchange.state !== ExchangeState.RUNNING) return;
-    const {status, reason, retryMs} = BODY_REFUSALS[fault];
-    this.refuseEarly(exchange, status, reason, retryMs);
-  }
-
-  private refuseStopping(exchange: ClientExchange): void {
-    const reason = 'the node is stopping';
-    this.refuseEarly(exchange, Status.UNAVAILABLE, reason, STOP_RETRY_MS);
-  }
-
-  /** Refuses a request that was not sent to any node. */
-  private refuseEarly(
-    exchange: ClientExchange,
-    status: Status,
-    reason: string,
-    retryMs?: number,
-  ): void {
-    const {rawHeaders} = exchange.request;
-    const head = this.parts.wire.readClientHead(rawHeaders);
-    const table = this.parts.readTable();
-    const account = describeAccount(table?.accounts, head.key);
-    const details = {answer: AnswerKind.NOT_RUN, status, reason, ...account};
-    this.parts.metrics.count('requests_turned_away_total', {reason});
-    countRefusal(this.parts, account, reason);
-    this.parts.record(EventCode.REQUEST_REFUSED, details, head.requestId);
-    this.refuse(exchange, status, reason, retryMs);
-  }
-
-  private recordUnrouted(requestId: string, details: EventDetails): void {
-    this.parts.metrics.count('requests_unrouted_total');
-    countRefusal(this.parts, details, 'unrouted');
-    this.parts.record(EventCode.REQUEST_UNROUTED, details, requestId);
+    this.refusals.refuse(exchange, status, message);
   }
 }
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -1,18 +1,7 @@
 /** Meaning of each event code. docs/events.md is generated from it. */
 import {EventCode} from './events.js';
-
-/** Description of an event code. */
-export interface CatalogueEntry {
-  readonly meaning: string;
-  /** Names and units of the details. */
-  readonly details: readonly string[];
-}
-
-const ACCOUNT = 'account: client account, if any';
-
-function describe(meaning: string, ...details: string[]): CatalogueEntry {
-  return {meaning, details};
-}
+import type {CatalogueEntry} from './catalogueEntry.js';
+import {ACCOUNT, describe} from './catalogueEntry.js';
 
 export const EVENT_CATALOGUE: Readonly<Record<EventCode, CatalogueEntry>> = {
   [EventCode.NODE_STARTED]: describe(
