--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -1,7 +1,6 @@
 /** Meaning of each event code. docs/events.md is generated from it. */
 import {EventCode} from './events.js';
-import type {CatalogueEntry} from './catalogueEntry.js';
-import {ACCOUNT, describe} from './catalogueEntry.js';
+import {type CatalogueEntry, ACCOUNT, describe} from './catalogueEntry.js';
 
 export const EVENT_CATALOGUE: Readonly<Record<EventCode, CatalogueEntry>> = {
   [EventCode.NODE_STARTED]: describe(
