Dial a lost link a second time without a doubled delay

An urgent redial counted as a failed attempt, so the next one came after 200 ms in place of 100 ms, while a request waits at most 150 ms for a token. It is the suspected cause of the two tests of allotments that are listed as intermittent; not proven.

--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -411,19 +411,19 @@
     this.pendingCalls.settleAll(createClosingRefusal());
   }
 
-  /** Detaches the socket and schedules the next connection. */
+  /** Detaches the socket; doubles the delay unless it dials at once. */
   private release(redialDelayMs: number): void {
-    const nowMs = this.clock.readMs();
     this.socket = undefined;
     this.replacement?.destroy();
     this.replacement = undefined;
-    if (this.isUp) this.lostMs = nowMs;
+    if (this.isUp) this.lostMs = this.clock.readMs();
     this.isUp = false;
-    this.avoidedUntilMs = nowMs + AVOID_MS;
+    this.avoidedUntilMs = this.clock.readMs() + AVOID_MS;
     this.pingSentMs = undefined;
     if (!this.isRetired && !this.isStopped) {
       this.timer = setTimeout(() => this.dial(), redialDelayMs);
     }
-    this.redialDelayMs = Math.min(REDIAL_MAX_MS, 2 * this.redialDelayMs);
+    const nextDelayMs = this.redialDelayMs + redialDelayMs;
+    this.redialDelayMs = Math.min(REDIAL_MAX_MS, nextDelayMs);
   }
 }
