Lend the whole burst where the deployment tolerates the excess

Cause: a bucket held the burst less the gain of a token's lifetime, half of the burst for most accounts, so an account with a burst of two got one of two requests that arrive together.

Change: half of the tolerance of the settings covers tokens that are lent before a window and used in it, and the capacity is reduced only by what exceeds it.

--- a/packages/sidecar/src/process/allotmentTask.ts
+++ b/packages/sidecar/src/process/allotmentTask.ts
@@ -11,6 +11,7 @@
 } from 'sycamoreyoke/process/allotment/allotmentNode';
 import {AllotmentNode} from 'sycamoreyoke/process/allotment/allotmentNode';
 import {ASK_INTERVAL_MS} from 'sycamoreyoke/process/allotment/constants';
+import {computeExcess} from 'sycamoreyoke/process/allotment/fallbackBucket';
 import type {ChargeResult} from 'sycamoreyoke/process/allotment/tokenHolder';
 import {ChargeEnd} from 'sycamoreyoke/process/allotment/tokenHolder';
 import type {Allotment} from 'sycamoreyoke/process/allotment/types';
@@ -108,7 +109,7 @@
     handle: (charge: Charge) => void,
   ): void {
     const {name} = account;
-    const allotment = createAllotment(account);
+    const allotment = this.createAllotment(account);
     if (!allotment) {
       handle({isGranted: true, retryAfterMs: 0, release: () => undefined});
       return;
@@ -164,7 +165,15 @@
   private readAllotment(account: string): Allotment | undefined {
     const table = this.parts.readTable()?.accounts;
     const found = table?.accounts.get(account);
-    return found && createAllotment(found);
+    return found && this.createAllotment(found);
+  }
+
+  private createAllotment({ratePerS, burst}: Account): Allotment | undefined {
+    if (ratePerS === undefined) return undefined;
+    const tolerance = this.parts.readTolerance();
+    const allotment = {ratePerS, burst};
+    const excess = tolerance ? computeExcess(allotment, tolerance) : 0;
+    return {...allotment, excess};
   }
 
   private recordRefusal(
@@ -206,7 +215,3 @@
     }, ASK_INTERVAL_MS);
   }
 }
-
-function createAllotment({ratePerS, burst}: Account): Allotment | undefined {
-  return ratePerS === undefined ? undefined : {ratePerS, burst};
-}
--- a/packages/sycamoreyoke/src/process/allotment/lendingBucket.test.ts
+++ b/packages/sycamoreyoke/src/process/allotment/lendingBucket.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {createRandom, takeInteger} from '../../random.js';
+import {computeExcess, computeFallbackRate} from './fallbackBucket.js';
 import {
   LendingBucket,
   computeCapacity,
@@ -86,3 +87,32 @@
   bucket.accept(5_000, 99);
   expect(bucket.take(5_000, 500)).to.equal(5);
 });
+
+// Guards against refusing a small account two requests that arrive together,
+// although its burst allows them and the deployment tolerates what was lent
+// before; and against more than the burst and the excess in a window.
+it('lending bucket: a tolerated excess leaves the whole burst', () => {
+  const allotment = {ratePerS: 2, burst: 2, excess: 10};
+  const bucket = new LendingBucket(allotment, -10_000, 0);
+  expect(bucket.take(0, 5)).to.equal(2);
+  expect(bucket.take(500, 5)).to.equal(1);
+  const strict = new LendingBucket({...allotment, excess: 0}, -10_000, 0);
+  expect(strict.take(0, 5)).to.equal(1);
+  let lent = 3;
+  for (let nowMs = 520; nowMs <= 5_000; nowMs += 20) {
+    lent += bucket.take(nowMs, 5);
+  }
+  const {ratePerS, burst, excess} = allotment;
+  expect(lent).to.be.at.most(ratePerS * 5 + burst + excess);
+  expect(lent).to.be.at.least(ratePerS * 5);
+});
+
+// Guards against using the tolerance twice: by lent tokens, and by origins that
+// reach no owner.
+it('lending bucket: excess and fallback share the tolerance', () => {
+  const tolerance = {windowMs: 5_000, overage: 0.1, slack: 20};
+  const allotment = {ratePerS: 344, burst: 344};
+  const fallback = 61 * computeFallbackRate(allotment, tolerance, 61) * 5;
+  const excess = computeExcess(allotment, tolerance);
+  expect(excess + fallback).to.be.at.most(0.1 * (344 * 5 + 344) + 20);
+});
--- a/packages/sycamoreyoke/src/process/allotment/lendingBucket.ts
+++ b/packages/sycamoreyoke/src/process/allotment/lendingBucket.ts
@@ -22,13 +22,17 @@
   return Math.max(MIN_TOKEN_LIFETIME_MS, Math.min(TOKEN_LIFETIME_MS, halfMs));
 }
 
-/** Tokens that the owner may hold: what is not gained within a lifetime. */
+/**
+ * Tokens that the owner may hold: the burst, less what is gained within a
+ * lifetime as far as the deployment does not tolerate it.
+ */
 export function computeCapacity(allotment: Allotment): number {
-  const {ratePerS, burst} = allotment;
+  const {ratePerS, burst, excess = 0} = allotment;
+  const gained = (ratePerS * computeLifetimeMs(allotment)) / 1000;
   return Math.max(
     1,
     (ratePerS * MIN_CAPACITY_MS) / 1000,
-    burst - (ratePerS * computeLifetimeMs(allotment)) / 1000,
+    burst - Math.max(0, gained - excess),
   );
 }
 
@@ -49,8 +53,12 @@
 
   /** Applies a changed allotment; tokens that are lent expire by themselves. */
   apply(nowMs: number, allotment: Allotment): void {
-    const {ratePerS, burst} = this.allotment;
-    if (ratePerS === allotment.ratePerS && burst === allotment.burst) return;
+    const {ratePerS, burst, excess} = this.allotment;
+    const isSame =
+      ratePerS === allotment.ratePerS &&
+      burst === allotment.burst &&
+      excess === allotment.excess;
+    if (isSame) return;
     this.advance(nowMs);
     this.allotment = allotment;
     this.bucket.apply(nowMs, createSize(allotment));
--- a/packages/sycamoreyoke/src/process/allotment/types.ts
+++ b/packages/sycamoreyoke/src/process/allotment/types.ts
@@ -5,6 +5,8 @@
   readonly ratePerS: number;
   /** Requests that may exceed the rate at once. */
   readonly burst: number;
+  /** Tolerated excess in a window by tokens that were lent before it. */
+  readonly excess?: number;
 }
 
 /** An origin's ask for tokens of an account. */
