Review: let each run.sh write its record itself

A case writes its lines as they come, and run.sh sends them to record.txt, also if the case fails to start or is stopped. A case that cannot start exits with 2; it exited with 1 before. A stopped case ends its processes, and each removes its temporary folder.

Tried: without the stand-ins rc 2, stopped by SIGTERM rc 2 and no process left.

--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -14,7 +14,7 @@
 const QUIET_REQUESTS = 60;
 const MAX_LISTED = 40;
 
-await runCase(import.meta.dirname, async (record) => {
+await runCase(async (record) => {
   const play = new TenantPlay();
   try {
     await play.start();
--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -4,7 +4,7 @@
  * that keep their connections.
  */
 import {randomUUID} from 'node:crypto';
-import {readFileSync, writeFileSync} from 'node:fs';
+import {readFileSync, rmSync} from 'node:fs';
 import {connect} from 'node:net';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -28,10 +28,18 @@
 
 const MAX_LISTED = 40;
 
-/** Exit codes of a case. */
+/**
+ * Exit codes of a case, from which run.sh makes its own. Node.js itself exits
+ * with 1 if a case fails, for example if a stand-in was not built.
+ */
 export const HELD = 0;
-export const BROKEN = 1;
-export const NOT_RUN = 2;
+export const BROKEN = 10;
+const NOT_RUN = 2;
+const CODE_NAMES = {
+  [HELD]: 'the rule held',
+  [BROKEN]: 'the rule was broken',
+  [NOT_RUN]: 'the case could not run',
+};
 
 /** Whether the disruption is to be left out. */
 export const hasTrouble = process.env.TROUBLE !== '0';
@@ -44,9 +52,21 @@
   return run.split(' ');
 }
 
+const fleets = [];
+
 export function createFleet(memoryMb) {
   process.chdir(ROOT);
-  return new PlatformFleet({}, readCommand(), memoryMb, 4100);
+  const fleet = new PlatformFleet({}, readCommand(), memoryMb, 4100);
+  fleets.push(fleet);
+  return fleet;
+}
+
+/** Ends all processes that were started, and removes their settings and logs. */
+function endFleets() {
+  for (const {vms, folder} of fleets) {
+    for (const {process: child} of vms) child?.kill('SIGKILL');
+    rmSync(folder, {recursive: true, force: true});
+  }
 }
 
 export function wait(delayMs) {
@@ -61,18 +81,14 @@
 const FAULT_SHARE = 0.1;
 const FAULT_MACHINES = 2;
 
-/** Collects lines for record.txt with the time since the start. */
+/** Writes lines with the time since the start to standard output. */
 export class CaseRecord {
   startMs = performance.now();
-  lines = [];
 
   add(text) {
     const ms = Math.round(performance.now() - this.startMs);
-    this.lines.push(`${String(ms).padStart(6)} ms  ${text}`);
-  }
-
-  write(folder) {
-    writeFileSync(join(folder, 'record.txt'), `${this.lines.join('\n')}\n`);
+    // Synchronous, as run.sh sends standard output to a file.
+    process.stdout.write(`${String(ms).padStart(6)} ms  ${text}\n`);
   }
 }
 
@@ -266,15 +282,25 @@
 }
 
 /** Runs a case and exits with its code; a failure of the case itself is 2. */
-export async function runCase(folder, play) {
+export async function runCase(play) {
   const record = new CaseRecord();
+  const exit = (code) => {
+    endFleets();
+    const result = CODE_NAMES[code];
+    record.add(`${result}, TROUBLE=${hasTrouble ? 1 : 0}`);
+    process.exit(code);
+  };
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+    process.on(signal, () => {
+      record.add(`the case was stopped by ${signal}`);
+      exit(NOT_RUN);
+    });
+  }
   let code = NOT_RUN;
   try {
     code = await play(record);
   } catch (error) {
     record.add(`the case could not run: ${error.stack}`);
   }
-  record.add(`exit code ${code}, TROUBLE=${hasTrouble ? 1 : 0}`);
-  record.write(folder);
-  process.exit(code);
+  exit(code);
 }
