Name an account to upstreams only if the request has its key

Cause: no header says for which request an upstream makes a call. CallParents infers it from the deadline, and OriginHandler.startRequest used the result as if it were known: it travelled in the account of the CALL frame, and UpstreamRun sent it as the account's name. Two requests of one moment have the same deadline; a call that arrives late has that of a later request; after a restart the request that made the call is unknown to the node.

Change: the account of a call is that of its key, and a call has none. The inferred account is a field of its own, which only the fair order of the gate uses, and which the log calls inferredAccount. Nodes of frame revision 4 would tell their upstream the name, so they get none. No evidence makes an inferred name certain: the request that made a call may be one the node has forgotten.

--- a/packages/sidecar/src/connection/frame.ts
+++ b/packages/sidecar/src/connection/frame.ts
@@ -46,7 +46,7 @@
  * Revision of the frames that a node understands, sent in its HELLO. Nodes that
  * send none (0) treat an unknown kind as a fault and end the link.
  */
-export const FRAME_REVISION = 4;
+export const FRAME_REVISION = 5;
 /** First revision with GOODBYE. */
 export const GOODBYE_REVISION = 1;
 /** First revision that ignores unknown kinds of frames. */
@@ -64,6 +64,12 @@
 /** First revision with TOKENS_ASK and TOKENS_GRANT. */
 export const TOKENS_REVISION = 4;
 
+/**
+ * First revision whose gates know inferred accounts. Earlier ones would tell
+ * the upstream their names.
+ */
+export const INFERRED_ACCOUNT_REVISION = 5;
+
 /** A message between two nodes. */
 export type Frame =
   | {
--- a/packages/sidecar/src/connection/frameReader.test.ts
+++ b/packages/sidecar/src/connection/frameReader.test.ts
@@ -20,6 +20,18 @@
 const FRAMES: readonly Frame[] = [
   {kind: FrameKind.HELLO, node: NODE, report: REPORT, revision: FRAME_REVISION},
   {kind: FrameKind.CALL, id: 1, call: createCall('r-1', 3), sentMs: 7},
+  {
+    kind: FrameKind.CALL,
+    id: 3,
+    call: {...createCall('r-3'), account: 'hotel'},
+    sentMs: 7,
+  },
+  {
+    kind: FrameKind.CALL,
+    id: 4,
+    call: {...createCall('r-4'), inferredAccount: 'hotel'},
+    sentMs: 7,
+  },
   {kind: FrameKind.CANCEL, id: 1},
   {
     kind: FrameKind.RESULT,
--- a/packages/sidecar/src/connection/linkResume.test.ts
+++ b/packages/sidecar/src/connection/linkResume.test.ts
@@ -30,6 +30,7 @@
   FRAME_REVISION,
   FrameKind,
   GOODBYE_REVISION,
+  INFERRED_ACCOUNT_REVISION,
   RESUME_REVISION,
 } from './frame.js';
 import type {CuttableProxy} from './cuttableProxy.test.js';
@@ -422,3 +423,24 @@
   expect((await sending).end).to.equal(SendEnd.RESPONSE);
   await close();
 });
+
+// Guards against an earlier version of a node, which would tell its upstream
+// the name of an account that was only inferred.
+it('link: an earlier version gets no inferred account', async () => {
+  const received: unknown[] = [];
+  for (const revision of [INFERRED_ACCOUNT_REVISION - 1, FRAME_REVISION]) {
+    const peer = await openRawPeer(() => ({revision}));
+    const link = await openLink(peer.address);
+    const call = {...createCall('r-1'), inferredAccount: 'hotel'};
+    void sendCall(link, call);
+    await waitFor(() => peer.frames.some(({kind}) => kind === FrameKind.CALL));
+    const frame = peer.frames.find(({kind}) => kind === FrameKind.CALL);
+    if (frame?.kind === FrameKind.CALL) received.push(frame.call);
+    link.stop();
+    peer.close();
+  }
+  const [earlier, current] = received;
+  expect(earlier).to.include({account: undefined});
+  expect(earlier).to.not.have.property('inferredAccount');
+  expect(current).to.include({account: undefined, inferredAccount: 'hotel'});
+});
--- a/packages/sidecar/src/connection/peerFrames.ts
+++ b/packages/sidecar/src/connection/peerFrames.ts
@@ -4,7 +4,6 @@
 import type {CrashSuspect} from 'sycamoreyoke/process/crashRegister';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
 import {SendEnd} from 'sycamoreyoke/request/resend';
-import {Importance} from 'sycamoreyoke/types';
 import type {
   CallResult,
   GateReason,
@@ -12,12 +11,12 @@
   LeavingNotice,
   NodeRecord,
   NodeReport,
-  OutgoingCall,
 } from '../types.js';
 import {isAddress} from '../types.js';
 import type {Frame} from './frame.js';
 import {FrameKind} from './frame.js';
 import {countBytes} from './bodyBytes.js';
+import {buildCall, readCall} from './callFields.js';
 import type {LargeBody} from './frameParts.js';
 import {buildBody, encodeParts} from './frameParts.js';
 import {
@@ -32,7 +31,6 @@
   readList,
   readMember,
   readName,
-  readText,
 } from './frameFields.js';
 import {buildAsks, buildGrants, readAsks, readGrants} from './tokenFrames.js';
 
@@ -40,9 +38,6 @@
 export const LENGTH_BYTES = 4;
 const packr = new Packr({useRecords: false});
 const SEND_ENDS: ReadonlySet<SendEnd> = new Set(Object.values(SendEnd));
-const IMPORTANCES: ReadonlySet<Importance> = new Set(
-  Object.values(Importance).filter((value) => typeof value === 'number'),
-);
 
 /** Encodes a frame with its length prefix. */
 export function encodeFrame(frame: Frame): Buffer {
@@ -89,23 +84,6 @@
   meanServiceMs: number,
 ];
 
-type CallFields = readonly [
-  requestId: string,
-  service: string,
-  callerService: string,
-  kind: string,
-  method: string,
-  path: string,
-  headers: HeaderList,
-  body: Uint8Array | LargeBody,
-  leftMs: number,
-  usefulMs: number,
-  importance: Importance,
-  isIdempotent: boolean,
-  /** Absent in calls of nodes that know no accounts. */
-  account?: string,
-];
-
 type ResultFields = readonly [
   end: SendEnd,
   reason: GateReason | null,
@@ -361,47 +339,6 @@
   };
 }
 
-function buildCall(call: OutgoingCall): CallFields {
-  const {account} = call;
-  const fields = [
-    call.requestId,
-    call.service,
-    call.callerService,
-    call.kind,
-    call.method,
-    call.path,
-    call.headers,
-    buildBody(call.body),
-    Math.round(call.leftMs),
-    Math.round(call.usefulMs),
-    call.importance,
-    call.isIdempotent,
-  ] as const;
-  return account === undefined ? fields : [...fields, account];
-}
-
-function readCall(value: unknown): OutgoingCall {
-  const [requestId, service, callerService, kind, method, path, ...rest] =
-    readList(value);
-  const [headers, body, leftMs, usefulMs, importance, ...optional] = rest;
-  const [isIdempotent, account] = optional;
-  return {
-    requestId: readText(requestId),
-    service: readText(service),
-    callerService: readText(callerService),
-    kind: readText(kind),
-    method: readName(method),
-    path: readText(path),
-    headers: readHeaders(headers),
-    body: readBytes(body),
-    leftMs: readDelay(leftMs),
-    usefulMs: readDelay(usefulMs),
-    importance: readMember(IMPORTANCES, importance),
-    isIdempotent: readFlag(isIdempotent),
-    account: account === undefined ? undefined : readName(account),
-  };
-}
-
 function buildResult(result: CallResult): ResultFields {
   const {end, reason, retryAfterMs, status, headers, body} = result;
   return [end, reason ?? null, retryAfterMs, status, headers, buildBody(body)];
--- a/packages/sidecar/src/connection/peerLink.ts
+++ b/packages/sidecar/src/connection/peerLink.ts
@@ -35,6 +35,7 @@
   createNonArrival,
 } from './callFailure.js';
 import {PendingCalls} from './pendingCalls.js';
+import {narrowCall} from './callFields.js';
 import type {Frame} from './frame.js';
 import type {LinkEvents} from './linkEvents.js';
 import {FrameReader} from './frameReader.js';
@@ -114,11 +115,10 @@
     sendFrame(socket, {
       kind: FrameKind.CALL,
       id,
-      call,
+      call: narrowCall(call, this.peerRevision),
       sentMs,
-      acknowledgedIds: this.unacknowledgedIds,
+      acknowledgedIds: this.unacknowledgedIds.splice(0),
     });
-    this.unacknowledgedIds = [];
     return {
       cancel: () => {
         if (!this.pendingCalls.remove(id)) return;
--- a/packages/sidecar/src/process/parentCall.ts
+++ b/packages/sidecar/src/process/parentCall.ts
@@ -6,6 +6,7 @@
 export interface ParentRequest {
   readonly requestId: string;
   readonly importance: Importance;
+  /** Account that the request belongs to, or probably belongs to. */
   readonly account: string | undefined;
   /** Whether the deadlines match; if not, it may be a client's request. */
   readonly isConfirmed: boolean;
--- a/packages/sidecar/src/process/upstreamLog.ts
+++ b/packages/sidecar/src/process/upstreamLog.ts
@@ -6,6 +6,7 @@
 import {PresenceChange} from 'sycamoreyoke/process/upstreamPresence';
 import {identifyContent} from 'sycamoreyoke/request/contentIdentity';
 import {SendEnd} from 'sycamoreyoke/request/resend';
+import {describeCallAccount} from '../request/callAccount.js';
 import type {RunEnd} from '../request/upstreamRun.js';
 import type {OutgoingCall} from '../types.js';
 import {GateReason} from '../types.js';
@@ -18,12 +19,15 @@
 /** Records a refusal with what it depended on: load, account, remaining time. */
 export function recordRefusal(
   record: EventRecorder,
-  {kind, importance, leftMs, requestId, account}: OutgoingCall,
+  call: OutgoingCall,
   reason: GateReason,
   {running, waiting, limit}: GateState,
   {accountWaiting, waitingAccounts}: AccountBacklog,
 ): void {
   if (reason === GateReason.CANCELLED) return;
+  const {kind, importance, leftMs, requestId} = call;
+  const account = describeCallAccount(call);
+  const hasAccount = Object.keys(account).length > 0;
   record(
     EventCode.GATE_REFUSED,
     {
@@ -34,9 +38,8 @@
       waiting,
       limit,
       leftMs: Math.round(leftMs),
-      ...(account === undefined
-        ? {}
-        : {account, accountWaiting, waitingAccounts}),
+      ...account,
+      ...(hasAccount ? {accountWaiting, waitingAccounts} : {}),
     },
     requestId,
   );
@@ -64,7 +67,7 @@
       elapsedMs: Math.round(elapsedMs),
       running,
       waiting,
-      ...(call.account === undefined ? {} : {account: call.account}),
+      ...describeCallAccount(call),
     },
     call.requestId,
   );
--- a/packages/sidecar/src/process/upstreamTask.test.ts
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -14,7 +14,7 @@
   waitFor,
 } from '../connection/linkHarness.test.js';
 import {UpstreamPool} from '../connection/upstreamPool.js';
-import type {CallResult} from '../types.js';
+import type {CallResult, OutgoingCall, WireProtocol} from '../types.js';
 import type {CrashGuard} from './upstreamTask.js';
 import {UpstreamTask} from './upstreamTask.js';
 
@@ -25,6 +25,7 @@
   port: number,
   crashes: Partial<CrashGuard> = {},
   record: EventRecorder = () => undefined,
+  buildUpstreamHeaders: WireProtocol['buildUpstreamHeaders'] = () => [],
 ): UpstreamTask {
   const task = new UpstreamTask({
     service: 'booking',
@@ -34,7 +35,7 @@
       readClientHead: () => {
         throw new Error('not called');
       },
-      buildUpstreamHeaders: () => [],
+      buildUpstreamHeaders,
       readUpstreamHead: () => {
         throw new Error('not called');
       },
@@ -176,3 +177,34 @@
   task.stop();
   upstream.close();
 });
+
+// Guards against a call whose account was only inferred and that tells the
+// upstream its name, or that takes the turn of no account at the gate.
+it('upstream task: an inferred account orders a call, unnamed', async () => {
+  const names: unknown[] = [];
+  const upstream = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.destroy());
+  });
+  const port = await listen(upstream, 0);
+  const task = createTask(port, {}, undefined, ({requestId, account}) => {
+    names.push([requestId, account]);
+    return [];
+  });
+  const ends: string[] = [];
+  const offer = (requestId: string, changes: Partial<OutgoingCall>) =>
+    task.offer(
+      {...createCall(requestId), leftMs: 3_000, usefulMs: 3_000, ...changes},
+      () => ends.push(requestId),
+    );
+  offer('client-1', {account: 'large'});
+  offer('client-2', {account: 'large'});
+  offer('call-1', {inferredAccount: 'large'});
+  offer('client-3', {account: 'small', leftMs: 3_500});
+  await waitFor(() => ends.length === 4);
+  expect(ends).to.deep.equal(['client-1', 'client-3', 'client-2', 'call-1']);
+  expect(names).to.deep.include(['call-1', undefined]);
+  expect(names).to.deep.include(['client-3', 'small']);
+  task.stop();
+  upstream.close();
+});
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -23,6 +23,7 @@
 import {createFailure} from '../connection/callFailure.js';
 import type {UpstreamPool} from '../connection/upstreamPool.js';
 import {DEFAULT_SLOTS, DRAIN_START_SHARE, GATE_TICK_MS} from '../constants.js';
+import {describeOrder} from '../request/callAccount.js';
 import {UpstreamRun} from '../request/upstreamRun.js';
 import type {
   CallResult,
@@ -143,7 +144,7 @@
     return {
       requestId: parent.call.requestId,
       importance: parent.call.importance,
-      account: parent.call.account,
+      account: describeOrder(parent.call).account,
       isConfirmed: callParents.hasDeadline(callDeadlineMs),
       readWork: () => this.readWork(parent),
     };
@@ -242,7 +243,7 @@
     this.calls.set(ticket, {ticket, call, deadlineMs, handle, run: undefined});
     const arrival = {
       ticket,
-      importance: call.importance,
+      ...describeOrder(call),
       deadline: computeGateDeadline({
         nowMs,
         leftMs: call.leftMs,
@@ -252,7 +253,6 @@
         limit: this.gate.readLimit(),
       }),
       requestClass: call.kind,
-      account: call.account,
     };
     this.applyActions(this.gate.offer(arrival));
     return {
@@ -417,7 +417,7 @@
       call,
       reason,
       this.describeLoad(),
-      this.gate.describeBacklog(call),
+      this.gate.describeBacklog(describeOrder(call)),
     );
   }
 
--- a/packages/sidecar/src/request/originCall.test.ts
+++ b/packages/sidecar/src/request/originCall.test.ts
@@ -23,6 +23,7 @@
 /** What a call needs besides its answers, where a test concerns it. */
 interface CallChanges {
   readonly account?: string;
+  readonly inferredAccount?: string;
   readonly parentId?: string;
   readonly record?: EventRecorder;
   readonly accountMetrics?: AccountMetrics;
@@ -81,6 +82,7 @@
     configurationVersion: 1,
     parentId: changes.parentId,
     account: changes.account,
+    inferredAccount: changes.inferredAccount,
   };
   return new OriginCall(request, {
     clock: new VirtualClock(),
@@ -174,3 +176,25 @@
     reason: GateReason.OVERLOADED,
   });
 });
+
+// Guards against an account that an operator takes for certain, in the log or
+// in the metrics, although it was only inferred for a call of an upstream.
+it('origin call: an inferred account is named as such', () => {
+  const accounts: unknown[] = [];
+  const accountMetrics = new AccountMetrics();
+  const changes = {
+    inferredAccount: 'hotel',
+    parentId: 'p',
+    accountMetrics,
+    record: ((_code, details) =>
+      accounts.push([
+        details?.['account'],
+        details?.['inferredAccount'],
+      ])) as EventRecorder,
+  };
+  const send = answerWith(BUSY);
+  createAccountCall(changes, Repeatability.ONCE, [], send).start();
+  expect(accounts).to.deep.equal(accounts.map(() => [undefined, 'hotel']));
+  expect(accounts).to.not.have.length(0);
+  expect(accountMetrics.list()).to.deep.equal([]);
+});
--- a/packages/sidecar/src/request/originCall.ts
+++ b/packages/sidecar/src/request/originCall.ts
@@ -22,6 +22,7 @@
 import type {ChosenNode, PeerTask} from '../process/peerTask.js';
 import type {CallResult, HeaderList, PendingCall} from '../types.js';
 import {GateReason} from '../types.js';
+import {describeCallAccount} from './callAccount.js';
 import {findHeadFault} from './responseHead.js';
 
 /** A request that was read completely and has a route. */
@@ -43,8 +44,10 @@
   readonly parentId: string | undefined;
   /** Returns the work done for that request. */
   readonly readParentWork?: (() => WorkDone | undefined) | undefined;
-  /** Client account that the request belongs to, if any. */
+  /** Client account whose key the request has, if any. */
   readonly account: string | undefined;
+  /** Account that an upstream's call is probably made for. */
+  readonly inferredAccount?: string | undefined;
 }
 
 /** What the answer says about the execution of the request. */
@@ -151,6 +154,7 @@
         importance: request.importance,
         isIdempotent: this.isIdempotent(),
         account: request.account,
+        inferredAccount: request.inferredAccount,
       },
       (result) => this.handleResult(result),
     );
@@ -332,8 +336,8 @@
     code: EventCode,
     details: Readonly<Record<string, string | number>>,
   ): void {
-    const {account, requestId} = this.request;
-    const accountDetails = account === undefined ? {} : {account};
+    const {requestId} = this.request;
+    const accountDetails = describeCallAccount(this.request);
     this.parts.record(code, {...details, ...accountDetails}, requestId);
   }
 }
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -290,7 +290,8 @@
       configurationVersion: head.version,
       parentId: parent?.requestId,
       readParentWork: parent && (() => parent.readWork()),
-      account: check.account?.name ?? parent?.account,
+      account: check.account?.name,
+      inferredAccount: check.account ? undefined : parent?.account,
     };
     this.start(exchange, routed, charge);
     return true;
--- a/packages/sidecar/src/types.ts
+++ b/packages/sidecar/src/types.ts
@@ -48,8 +48,13 @@
   readonly usefulMs: number;
   readonly importance: Importance;
   readonly isIdempotent: boolean;
-  /** Name of the client account that the request belongs to, if any. */
+  /** Client account whose key the request has, if any; the upstream learns it. */
   readonly account: string | undefined;
+  /**
+   * Account that an upstream's call is probably made for. Only the fair order
+   * uses it: no header tells for which request a call is made.
+   */
+  readonly inferredAccount?: string | undefined;
 }
 
 /** Why a gate did not deliver a response. */
@@ -156,7 +161,7 @@
   readonly leftMs: number;
   readonly instance: string;
   readonly callerService: string;
-  /** Client account of the request, unless the upstream of a node made it. */
+  /** Client account whose key the request has; calls of upstreams have none. */
   readonly account: string | undefined;
 }
 
--- a/packages/sycamoreyoke/src/process/catalogueEntry.ts
+++ b/packages/sycamoreyoke/src/process/catalogueEntry.ts
@@ -15,4 +15,5 @@
   return {meaning, details};
 }
 
-export const ACCOUNT = 'account: client account, if any';
+export const ACCOUNT =
+  "account: client account whose key the request has, or inferredAccount: account that an upstream's call is probably made for, if any";
