Accept a request without a key only with evidence that it is a call

Cause: one guess, the running request with the nearest deadline or the latest active one, decided on key, begin, importance and stop. All requests of a kind have the same time budget, so a client's own request has the same deadline.

A call matches over the time in which it can have arrived, not before the start of its parent. A connection with a key is a client's for good; one with matching calls is the upstream's, and its calls may be late. A call for a request that ended without an answer gets 503, not 401. A call has the highest importance of the requests that it matches.

Ruled out: a narrower or wider window trades strangers that run for calls that get 401; a single match is no proof if the parent is not among the running requests.

--- a/packages/sidecar/src/connection/clientConnection.ts
+++ b/packages/sidecar/src/connection/clientConnection.ts
@@ -1,6 +1,7 @@
 /** A client connection with pipelined requests, answered in their order. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {ConnectionOwner} from 'sycamoreyoke/connection/connectionOwner';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import {EventCode} from 'sycamoreyoke/process/events';
 import type {Metrics} from 'sycamoreyoke/process/metrics';
@@ -12,7 +13,6 @@
   MAX_PIPELINED_REQUESTS,
   MAX_WAITING_BYTES,
 } from '../constants.js';
-import type {ConnectionIdentity} from './clientExchange.js';
 import {ClientExchange, ExchangeState} from './clientExchange.js';
 
 /** Dependencies of a client connection. */
@@ -48,7 +48,7 @@
   private readonly activeExchanges: ClientExchange[] = [];
   /** Later requests, which are not handled yet. */
   private readonly queued: ClientExchange[] = [];
-  private readonly identity: ConnectionIdentity = {isClient: false};
+  private readonly owner = new ConnectionOwner();
   private accepted = 0;
   private readonly acceptedMs: number;
   /** Earliest time at which the client can have connected, clock ms. */
@@ -79,13 +79,15 @@
     }
     // What the process was behind counts as time that the request has waited.
     const arrivedMs = this.findArrivalMs();
+    const readMs = this.parts.readMs();
     const {output} = this.parts;
     const exchange = new ClientExchange(
       request,
       arrivedMs,
+      readMs,
+      this.owner,
       response,
       output,
-      this.identity,
       () => this.flush(),
     );
     this.accepted += 1;
@@ -94,7 +96,7 @@
     // Pipelined responses emit no 'close' if the connection is lost; see
     // handleClose.
     response.once('close', () => this.finish(exchange));
-    if (this.parts.readMs() - arrivedMs <= LATE_READ_MS) this.startQueued();
+    if (readMs - arrivedMs <= LATE_READ_MS) this.startQueued();
     else runAfterNextRead(() => this.startQueued());
   }
 
--- a/packages/sidecar/src/connection/clientExchange.ts
+++ b/packages/sidecar/src/connection/clientExchange.ts
@@ -1,5 +1,6 @@
 /** A client's request and its answer. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ConnectionOwner} from 'sycamoreyoke/connection/connectionOwner';
 import type {ByteBudget} from './byteBudget.js';
 
 /** An answer, without the headers that concern the connection. */
@@ -39,12 +40,6 @@
   body: new Uint8Array(0),
 };
 
-/** Who opened the connection, as far as its requests have shown. */
-export interface ConnectionIdentity {
-  /** Whether a request had the key of an account, which upstreams never send. */
-  isClient: boolean;
-}
-
 /** Holds the answer of a request until the connection writes it, in order. */
 export class ClientExchange {
   state = ExchangeState.RUNNING;
@@ -53,11 +48,14 @@
 
   constructor(
     readonly request: IncomingMessage,
-    /** On the node's clock, ms. */
+    /** Earliest time at which it can have arrived, on the node's clock, ms. */
     readonly arrivedMs: number,
+    /** Time at which it was read. */
+    readonly readMs: number,
+    /** Who has opened the connection, as far as its requests have shown. */
+    readonly owner: ConnectionOwner,
     private readonly response: ServerResponse,
     private readonly output: ByteBudget<ClientExchange>,
-    private readonly identity: ConnectionIdentity,
     private readonly handleAnswer: () => void,
   ) {}
 
@@ -66,16 +64,6 @@
     return this.response.shouldKeepAlive;
   }
 
-  /** Records that the request has a key, so that a client has sent it. */
-  markClient(): void {
-    this.identity.isClient = true;
-  }
-
-  /** Whether a request of the connection had a key. */
-  isClient(): boolean {
-    return this.identity.isClient;
-  }
-
   /** Returns the bytes of the answer while it waits to be written. */
   countWaitingBytes(): number {
     const isWaiting = this.state === ExchangeState.ANSWERED;
--- a/packages/sidecar/src/connection/upstreamConnection.test.ts
+++ b/packages/sidecar/src/connection/upstreamConnection.test.ts
@@ -119,6 +119,7 @@
         call: CALL,
         instance: 'i-1',
         deadlineMs: systemClock.readMs() + 2_000,
+        statedDeadlineMs: systemClock.readMs() + 2_000,
         readMs: () => systemClock.readMs(),
         wire: WIRE,
         pool,
@@ -145,6 +146,7 @@
       call: CALL,
       instance: 'i-1',
       deadlineMs: 1_000,
+      statedDeadlineMs: 1_000,
       readMs: () => nowMs,
       wire: WIRE,
       pool,
@@ -212,6 +214,7 @@
         call: {...CALL, isIdempotent},
         instance: 'i-1',
         deadlineMs: systemClock.readMs() + 3_000,
+        statedDeadlineMs: systemClock.readMs() + 3_000,
         readMs: () => systemClock.readMs(),
         wire: {
           ...WIRE,
--- a/packages/sidecar/src/process/upstreamTask.test.ts
+++ b/packages/sidecar/src/process/upstreamTask.test.ts
@@ -46,6 +46,7 @@
     presence: new UpstreamPresence(systemClock),
     status: {hasKnownPast: () => true, observeHeartbeat: () => undefined},
     callParents: new CallParents(),
+    hasAccounts: () => false,
     pool: new UpstreamPool(
       {host: HOST, port},
       () => systemClock.readMs(),
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -6,10 +6,9 @@
 import {AdaptiveGate} from 'sycamoreyoke/process/gate';
 import {computeGateDeadline} from 'sycamoreyoke/process/gateDeadline';
 import type {CallParents} from 'sycamoreyoke/process/callParents';
+import {computeStatedDeadline} from 'sycamoreyoke/process/callParents';
 import type {GateParameters} from 'sycamoreyoke/process/gateParameters';
 import type {UpstreamLoad} from 'sycamoreyoke/process/placement';
-import type {WorkDone} from 'sycamoreyoke/process/retryOrder';
-import {computeWorkDone} from 'sycamoreyoke/process/retryOrder';
 import type {GateAction} from 'sycamoreyoke/process/types';
 import {Completion, GateActionKind} from 'sycamoreyoke/process/types';
 import type {UpstreamLeaving} from 'sycamoreyoke/process/upstreamLeavings';
@@ -33,10 +32,10 @@
   WireProtocol,
 } from '../types.js';
 import {GateReason} from '../types.js';
+import {ChildCalls} from './childCalls.js';
 import type {CrashTask} from './crashTask.js';
 import type {GateRefusal} from './gateRefusal.js';
 import {NODE_STOPPING_REFUSAL, createRefusal} from './gateRefusal.js';
-import type {ParentCall, ParentRequest} from './parentCall.js';
 import {SlotLimiter} from './slotLimiter.js';
 import type {StatusCheck} from './statusCheck.js';
 import type {CrashObserver} from './upstreamHealth.js';
@@ -55,6 +54,8 @@
   readonly presence: UpstreamPresence;
   readonly status: Pick<StatusCheck, 'hasKnownPast' | 'observeHeartbeat'>;
   readonly callParents: CallParents;
+  /** Whether requests need keys, so that calls must differ from them. */
+  readonly hasAccounts: () => boolean;
   readonly pool: UpstreamPool;
   readonly crashes: CrashGuard;
   readonly parameters: GateParameters;
@@ -82,6 +83,8 @@
 
 /** Admits calls within the limit and runs them on the upstream. */
 export class UpstreamTask {
+  /** The calls that the upstream makes. */
+  readonly childCalls: ChildCalls;
   private readonly limiter = new SlotLimiter(DEFAULT_SLOTS);
   private readonly gate: AdaptiveGate;
   private readonly health: UpstreamHealth;
@@ -93,6 +96,11 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: UpstreamTaskParts) {
+    this.childCalls = new ChildCalls({
+      callParents: parts.callParents,
+      clock: parts.clock,
+      findRequest: (ticket) => this.calls.get(ticket),
+    });
     this.gate = new AdaptiveGate({
       clock: parts.clock,
       limiter: this.limiter,
@@ -135,44 +143,11 @@
     };
   }
 
-  /** Finds the running request for which the upstream makes a call, if any. */
-  findParent(callDeadlineMs: number): ParentRequest | undefined {
-    const {callParents} = this.parts;
-    const ticket = callParents.findParent(callDeadlineMs);
-    const parent = ticket === undefined ? undefined : this.calls.get(ticket);
-    if (!parent) return undefined;
-    return {
-      requestId: parent.call.requestId,
-      importance: parent.call.importance,
-      account: describeOrder(parent.call).account,
-      isConfirmed: callParents.hasDeadline(callDeadlineMs),
-      readWork: () => this.readWork(parent),
-    };
-  }
-
-  private readWork({ticket, deadlineMs}: GateCall): WorkDone | undefined {
-    const progress = this.parts.callParents.readProgress(ticket);
-    return (
-      progress &&
-      computeWorkDone(progress, deadlineMs, this.parts.clock.readMs())
-    );
-  }
-
   /** Counts the kinds of calls that the gate throttles. */
   countThrottled(): number {
     return this.gate.countThrottled();
   }
 
-  /** The same, and counts the call as open until it is finished. */
-  startChildCall(callDeadlineMs: number): ParentCall | undefined {
-    const {callParents, clock} = this.parts;
-    const parent = this.findParent(callDeadlineMs);
-    const ticket = callParents.startCall(callDeadlineMs);
-    if (!parent || ticket === undefined) return undefined;
-    const finish = () => callParents.finishCall(ticket, clock.readMs());
-    return {...parent, finish};
-  }
-
   countCalls(): number {
     return this.calls.size;
   }
@@ -331,10 +306,15 @@
       return;
     }
     const startedMs = this.parts.clock.readMs();
+    const {ticket, deadlineMs} = gateCall;
+    const statedDeadlineMs = this.parts.hasAccounts()
+      ? computeStatedDeadline(deadlineMs, startedMs)
+      : deadlineMs;
     gateCall.run = new UpstreamRun({
       call: gateCall.call,
       instance: upstream.instance,
-      deadlineMs: gateCall.deadlineMs,
+      deadlineMs,
+      statedDeadlineMs,
       readMs: () => this.parts.clock.readMs(),
       wire: this.parts.wire,
       pool: this.parts.pool,
@@ -355,7 +335,7 @@
         this.finish(gateCall, completion, result);
       },
     });
-    this.parts.callParents.start(gateCall, startedMs);
+    this.parts.callParents.start({ticket, statedDeadlineMs}, startedMs);
     gateCall.run.start();
   }
 
@@ -365,7 +345,8 @@
     result: CallResult,
   ): void {
     if (!this.calls.delete(gateCall.ticket)) return;
-    this.parts.callParents.finish(gateCall.ticket);
+    const isAnswered = result.end !== SendEnd.LOST;
+    this.parts.callParents.finish(gateCall.ticket, isAnswered);
     const actions = this.gate.finish(gateCall.ticket, completion);
     gateCall.handle(result);
     this.applyActions(actions);
@@ -387,7 +368,7 @@
     gateCall.run?.cancel();
     if (!this.calls.has(ticket)) return;
     this.calls.delete(ticket);
-    this.parts.callParents.finish(ticket);
+    this.parts.callParents.finish(ticket, false);
     this.applyActions(this.gate.cancel(ticket));
   }
 
--- a/packages/sidecar/src/request/beginOrRefuse.test.ts
+++ b/packages/sidecar/src/request/beginOrRefuse.test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
 import {VirtualClock} from 'sycamoreyoke/clock';
+import {ConnectionOwner} from 'sycamoreyoke/connection/connectionOwner';
 import {AccountMetrics} from 'sycamoreyoke/process/accountMetrics';
+import {ParentEvidence} from 'sycamoreyoke/process/callParents';
 import {Metrics} from 'sycamoreyoke/process/metrics';
 import {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import {SendEnd} from 'sycamoreyoke/request/resend';
@@ -54,7 +56,7 @@
   requestId: 'p',
   importance: Importance.CRITICAL,
   account: undefined,
-  isConfirmed: true,
+  evidence: ParentEvidence.DEADLINE,
   readWork: () => undefined,
   finish: () => undefined,
 };
@@ -106,8 +108,11 @@
       takeRetry: () => true,
     }),
     beginCheck: new BeginCheck({clock, metrics, record}),
-    findParent: () => parent,
-    startChildCall: () => parent,
+    childCalls: {
+      findParent: () => parent,
+      start: () => parent,
+      hasAbandonedParent: () => false,
+    },
     readStopSchedule: () => undefined,
   });
   const answers: ClientAnswer[] = [];
@@ -117,7 +122,8 @@
       request: {rawHeaders: ['Host', 'h'], url: '/', complete: true},
       arrivedMs: clock.readMs(),
       state: ExchangeState.RUNNING,
-      isClient: () => false,
+      readMs: clock.readMs(),
+      owner: new ConnectionOwner(),
       handleClose: () => undefined,
       answer: (answer: ClientAnswer) => answers.push(answer),
     } as unknown as ClientExchange);
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -6,7 +6,7 @@
 import {findRoute} from 'sycamoreyoke/version/routeTable';
 import {DEFAULT_TIMEOUT_MS} from '../constants.js';
 import type {Charge} from '../process/allotmentTask.js';
-import type {ParentCall, ParentRequest} from '../process/parentCall.js';
+import type {ParentRequest} from '../process/parentCall.js';
 import type {ClientHead} from '../types.js';
 import {GateReason} from '../types.js';
 import type {Answer, RoutedRequest} from './originCall.js';
@@ -15,6 +15,7 @@
 import {ExchangeState} from '../connection/clientExchange.js';
 import {getHeader} from '../connection/headerList.js';
 import {countRefusal, describeAccount} from './accountDetails.js';
+import {CallOrigin} from './callOrigin.js';
 import {forwardResponse} from './exchangeAnswers.js';
 import {AnswerKind, OriginCall} from './originCall.js';
 import type {OriginHandlerParts} from './originHandlerParts.js';
@@ -46,13 +47,13 @@
   readonly deadlineMs: number;
   readonly maxBodyBytes: number;
   readonly version: number;
+  readonly origin: CallOrigin;
 }
 
 /** A request that passed the checks of its head. */
 interface AcceptedHead extends RequestHead {
   /** The account whose key the request has. */
   readonly account: Account | undefined;
-  readonly isUpstreamCall: boolean;
 }
 
 /** Reads, routes and answers the requests at the outbound address. */
@@ -138,7 +139,8 @@
     exchange.handleClose(() => {
       if (!isStarted) charge?.release();
     });
-    if (!head.isUpstreamCall && !this.checkBegin(exchange, head)) return;
+    const isCall = head.origin.isUpstreamCall();
+    if (!isCall && !this.checkBegin(exchange, head)) return;
     const {request} = exchange;
     if (!hasBody(request.rawHeaders)) {
       isStarted = this.startRequest(exchange, head, EMPTY_BODY, charge);
@@ -207,7 +209,7 @@
       this.refusals.refuse(exchange, Status.NOT_FOUND, 'no route matches');
       return undefined;
     }
-    if (client.key !== undefined) exchange.markClient();
+    if (client.key !== undefined) exchange.owner.recordKey();
     const leftMs = client.leftMs ?? DEFAULT_TIMEOUT_MS;
     const head: RequestHead = {
       requestId: client.requestId,
@@ -219,19 +221,16 @@
       deadlineMs: arrivedMs + Math.min(leftMs, route.timeoutMs),
       maxBodyBytes: table.limits.maxBodyBytes,
       version: table.version,
+      origin: new CallOrigin(exchange, leftMs, this.parts.childCalls),
     };
-    // A call whose body is missing is not open yet, so only look its parent up.
-    const parent = exchange.isClient()
-      ? undefined
-      : this.parts.findParent(arrivedMs + leftMs);
-    const check = this.checkRequest(exchange, head, parent);
+    if (table.accounts) head.origin.recordOwner();
+    const check = this.checkRequest(exchange, head, head.origin.parent);
     if (!check) return undefined;
     if ((readAnnouncedBytes(rawHeaders) ?? 0) > head.maxBodyBytes) {
       this.refusals.refuseBody(exchange, BodyFault.TOO_LARGE);
       return undefined;
     }
-    const isUpstreamCall = parent?.isConfirmed ?? false;
-    return {...head, account: check.account, isUpstreamCall};
+    return {...head, account: check.account};
   }
 
   /** Refuses a client's request whose calls would probably fail. */
@@ -260,9 +259,8 @@
     charge: Charge | undefined,
   ): boolean {
     const {arrivedMs} = exchange;
-    const {client, route} = head;
-    const leftMs = client.leftMs ?? DEFAULT_TIMEOUT_MS;
-    const parent = this.startChildCall(exchange, arrivedMs + leftMs);
+    const {client, route, origin} = head;
+    const parent = origin.startCall();
     // Keys and the node's state may have changed while the body arrived.
     const check = this.checkRequest(exchange, head, parent);
     if (!check) return false;
@@ -303,17 +301,17 @@
     head: RequestHead,
     parent: ParentRequest | undefined,
   ): {account: Account | undefined} | undefined {
-    const {client, route, deadlineMs, version} = head;
+    const {client, route, deadlineMs, origin} = head;
     const {check, account} = checkCredentials(
       this.parts.readTable()?.accounts,
       {
         key: client.key,
         isPublicRoute: route.isPublic,
-        isUpstreamCall: parent?.isConfirmed ?? false,
+        isUpstreamCall: origin.isUpstreamCall(),
       },
     );
     if (check === CredentialCheck.UNKNOWN) {
-      this.refusals.refuseUnauthenticated(exchange, client, route, version);
+      this.refuseWithoutAccount(exchange, head);
       return undefined;
     }
     const stop = this.parts.readStopSchedule();
@@ -327,18 +325,17 @@
     return {account};
   }
 
-  /**
-   * Records a call of the upstream as open until it is answered. A call has no
-   * key, and a connection with requests that have one belongs to a client.
-   */
-  private startChildCall(
+  /** A call of the upstream is proper, also if nobody needs its answer. */
+  private refuseWithoutAccount(
     exchange: ClientExchange,
-    deadlineMs: number,
-  ): ParentCall | undefined {
-    if (exchange.isClient()) return undefined;
-    const parent = this.parts.startChildCall(deadlineMs);
-    if (parent) exchange.handleClose(() => parent.finish());
-    return parent;
+    {client, route, version, origin}: RequestHead,
+  ): void {
+    if (origin.isOrphan()) {
+      const message = 'the call is for a request that has ended';
+      this.refusals.refuseEarly(exchange, Status.UNAVAILABLE, message);
+      return;
+    }
+    this.refusals.refuseUnauthenticated(exchange, client, route, version);
   }
 
   private start(
--- a/packages/sidecar/src/request/originHandlerParts.ts
+++ b/packages/sidecar/src/request/originHandlerParts.ts
@@ -7,13 +7,13 @@
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {WeightedRotation} from 'sycamoreyoke/process/weightedRotation';
 import type {BeginCheck} from './beginCheck.js';
+import type {ChildCallLookup} from './callOrigin.js';
 import type {HeldBytes} from '../process/heldBytes.js';
 import type {PeerTask} from '../process/peerTask.js';
 import type {SegmentPool} from '../connection/segmentList.js';
 import type {EventRecorder} from 'sycamoreyoke/process/events';
 import type {RouteTable} from 'sycamoreyoke/version/routeTable';
 import type {AllotmentTask} from '../process/allotmentTask.js';
-import type {ParentCall, ParentRequest} from '../process/parentCall.js';
 import type {WireProtocol} from '../types.js';
 
 /** Dependencies of the handler. */
@@ -34,10 +34,7 @@
   readonly readTable: () => RouteTable | undefined;
   readonly readRetryBudget: (service: string) => RetryAllowance;
   readonly beginCheck: BeginCheck;
-  /** Finds the running request for which the upstream makes a call, if any. */
-  readonly findParent: (deadlineMs: number) => ParentRequest | undefined;
-  /** The same, and counts the call as open until it is finished. */
-  readonly startChildCall: (deadlineMs: number) => ParentCall | undefined;
+  readonly childCalls: ChildCallLookup;
   /** Returns the schedule of the stop once the node is stopping. */
   readonly readStopSchedule: () => StopSchedule | undefined;
 }
--- a/packages/sidecar/src/request/stopAcceptance.ts
+++ b/packages/sidecar/src/request/stopAcceptance.ts
@@ -1,4 +1,5 @@
 /** Decides which requests a stopping node accepts. */
+import {ParentEvidence} from 'sycamoreyoke/process/callParents';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {ParentRequest} from '../process/parentCall.js';
 
@@ -22,5 +23,6 @@
   if (stop.hasTimeToAnswer(nowMs, deadlineMs, usualMs)) return true;
   if (!parent) return false;
   // If it may be a client's request, it must not be cut off at the end.
-  return parent.isConfirmed || stop.clampDeadline(deadlineMs) === deadlineMs;
+  const isCall = parent.evidence !== ParentEvidence.RECENCY;
+  return isCall || stop.clampDeadline(deadlineMs) === deadlineMs;
 }
--- a/packages/sidecar/src/request/upstreamRun.ts
+++ b/packages/sidecar/src/request/upstreamRun.ts
@@ -44,6 +44,8 @@
   readonly instance: string;
   /** On the node's clock, ms. */
   readonly deadlineMs: number;
+  /** Deadline that the upstream is told; not later. */
+  readonly statedDeadlineMs: number;
   readonly readMs: () => number;
   readonly wire: WireProtocol;
   readonly pool: UpstreamPool;
@@ -114,10 +116,11 @@
 
   /** Connecting may have taken until the deadline. */
   private buildHeaders(): HeaderList | undefined {
-    const {call, instance, wire} = this.parts;
+    const {call, instance, wire, statedDeadlineMs, readMs} = this.parts;
     if (this.isEnded || this.isPastDeadline()) return undefined;
     const {requestId, callerService, account} = call;
-    const leftMs = Math.max(MIN_TIMEOUT_MS, Math.floor(this.readLeftMs()));
+    const statedMs = Math.floor(statedDeadlineMs - readMs());
+    const leftMs = Math.max(MIN_TIMEOUT_MS, statedMs);
     const additions = {requestId, leftMs, instance, callerService, account};
     return [...call.headers, ...wire.buildUpstreamHeaders(additions)];
   }
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -192,6 +192,7 @@
     presence,
     status,
     callParents: new CallParents(),
+    hasAccounts: () => configuration.read()?.table.accounts !== undefined,
     pool,
     crashes,
     hasTimeToStart: (deadlineMs) =>
@@ -348,8 +349,7 @@
     readTable: () => configuration.read()?.table,
     readRetryBudget,
     beginCheck,
-    findParent: (deadlineMs) => upstream.findParent(deadlineMs),
-    startChildCall: (deadlineMs) => upstream.startChildCall(deadlineMs),
+    childCalls: upstream.childCalls,
     readStopSchedule: () => lifecycle.stop,
   });
   const clients = new ClientListener(
