--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,6 +33,14 @@
 /** The packages must not import from the platform adapter. */
 const adapterZones = [{target: './packages', from: './platform'}];
 
+/** The product needs no stand-in; the build checks all that it imports. */
+const productZones = [
+  {
+    target: './platform/src/!(*.test).ts',
+    from: ['./platform/src/standins', './platform/src/soak'],
+  },
+];
+
 const verbRule = {
   meta: {type: 'suggestion', schema: []},
   create(context) {
@@ -87,7 +95,14 @@
       'import-x/no-default-export': 'error',
       'import-x/no-restricted-paths': [
         'error',
-        {zones: [...lifeSpanZones, ...rootZones, ...adapterZones]},
+        {
+          zones: [
+            ...lifeSpanZones,
+            ...rootZones,
+            ...adapterZones,
+            ...productZones,
+          ],
+        },
       ],
       '@typescript-eslint/consistent-type-imports': 'error',
       '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
