Answer 503 to requests without a key that may be calls

Cause: a request without a key that matches no running request got 401. After a restart the node does not know the requests of its former process, and a late call on a new connection matches nothing, so neither can be told from a stranger's request.

Change: 401 needs the certainty that a request is no call. If it fits a request that ended without an answer, can belong to one of a former process (the node was started less than the longest time budget of its service ago, and the request expires within it), or fits a running one if it was delayed, it gets 503, not run. Nothing runs that did not run before.

--- a/packages/sidecar/src/process/childCalls.ts
+++ b/packages/sidecar/src/process/childCalls.ts
@@ -7,6 +7,7 @@
 import {describeOrder} from '../request/callAccount.js';
 import type {OutgoingCall} from '../types.js';
 import type {ParentCall, ParentRequest} from './parentCall.js';
+import {CallDoubt} from './parentCall.js';
 
 /** A request that runs on the upstream. */
 export interface RunningRequest {
@@ -20,6 +21,8 @@
   readonly callParents: CallParents;
   readonly clock: Clock;
   readonly findRequest: (ticket: string) => RunningRequest | undefined;
+  /** Longest duration of a request of the upstream, ms. */
+  readonly readLongestTimeoutMs: () => number;
 }
 
 interface InferredParent {
@@ -53,9 +56,18 @@
     return {...parent, finish};
   }
 
-  /** Whether a call fits a request that has ended without an answer. */
-  hasAbandonedParent(possibleCall: PossibleCall): boolean {
-    return this.parts.callParents.hasAbandonedParent(possibleCall);
+  /**
+   * Finds why a request without evidence that it is a call may still be one;
+   * undefined if it can only be a client's.
+   */
+  findDoubt(possibleCall: PossibleCall): CallDoubt | undefined {
+    const {callParents, readLongestTimeoutMs} = this.parts;
+    if (callParents.hasAbandonedParent(possibleCall))
+      return CallDoubt.ENDED_PARENT;
+    if (callParents.hasFormerParent(possibleCall, readLongestTimeoutMs()))
+      return CallDoubt.FORMER_PROCESS;
+    const isLate = callParents.hasDelayedParent(possibleCall);
+    return isLate ? CallDoubt.LATE : undefined;
   }
 
   private findInferred(
--- a/packages/sidecar/src/process/parentCall.ts
+++ b/packages/sidecar/src/process/parentCall.ts
@@ -1,5 +1,5 @@
 /** What is inferred of the running request for which an upstream makes a call. */
-import type {ParentEvidence} from 'sycamoreyoke/process/callParents';
+import {ParentEvidence} from 'sycamoreyoke/process/callParents';
 import type {WorkDone} from 'sycamoreyoke/process/retryOrder';
 import type {Importance} from 'sycamoreyoke/types';
 
@@ -16,6 +16,23 @@
   readWork(): WorkDone | undefined;
 }
 
+/** Whether the evidence shows that the request is a call of the upstream. */
+export function isCallEvidence(evidence: ParentEvidence): boolean {
+  return evidence !== ParentEvidence.RECENCY;
+}
+
+/** Why a request that matches no running one may still be a call. */
+export enum CallDoubt {
+  /** It fits a request that has ended without an answer. */
+  ENDED_PARENT = 'the call is for a request that has ended',
+  /** Its connection is the upstream's, but it fits no request. */
+  NO_PARENT = 'no request of the call is known',
+  /** The node was restarted while its request may have run. */
+  FORMER_PROCESS = 'no key, and its request may be from before a restart',
+  /** It fits a running request if it was delayed on its way. */
+  LATE = 'no key, and it arrived too late for a call of its time left',
+}
+
 /** The same, while the call counts as open. */
 export interface ParentCall extends ParentRequest {
   /** Records that the call was answered. */
--- a/packages/sidecar/src/process/upstreamTask.ts
+++ b/packages/sidecar/src/process/upstreamTask.ts
@@ -56,6 +56,8 @@
   readonly callParents: CallParents;
   /** Whether requests need keys, so that calls must differ from them. */
   readonly hasAccounts: () => boolean;
+  /** Longest duration of a request of the service, ms. */
+  readonly readLongestTimeoutMs: () => number;
   readonly pool: UpstreamPool;
   readonly crashes: CrashGuard;
   readonly parameters: GateParameters;
@@ -100,6 +102,7 @@
       callParents: parts.callParents,
       clock: parts.clock,
       findRequest: (ticket) => this.calls.get(ticket),
+      readLongestTimeoutMs: parts.readLongestTimeoutMs,
     });
     this.gate = new AdaptiveGate({
       clock: parts.clock,
--- a/packages/sidecar/src/request/callOrigin.ts
+++ b/packages/sidecar/src/request/callOrigin.ts
@@ -4,11 +4,12 @@
 import type {ClientExchange} from '../connection/clientExchange.js';
 import type {ChildCalls} from '../process/childCalls.js';
 import type {ParentCall, ParentRequest} from '../process/parentCall.js';
+import {CallDoubt, isCallEvidence} from '../process/parentCall.js';
 
 /** The methods of the child calls that the origin uses. */
 export type ChildCallLookup = Pick<
   ChildCalls,
-  'findParent' | 'start' | 'hasAbandonedParent'
+  'findParent' | 'start' | 'findDoubt'
 >;
 
 /** Where a request and its connection come from, as its head shows. */
@@ -34,17 +35,18 @@
 
   /** Whether the request is a call of the upstream, not a client's. */
   isUpstreamCall(): boolean {
-    return (
-      this.parent !== undefined &&
-      this.parent.evidence !== ParentEvidence.RECENCY
-    );
+    return this.parent !== undefined && isCallEvidence(this.parent.evidence);
   }
 
-  /** Whether it is a call for a request that the node has given up. */
-  isOrphan(): boolean {
+  /**
+   * Finds why a request that is not shown to be a call may still be one;
+   * undefined if it is shown to be one, or can only be a client's.
+   */
+  findDoubt(): CallDoubt | undefined {
     const {possibleCall} = this;
-    if (!possibleCall || this.isUpstreamCall()) return false;
-    return this.isTrusted || this.childCalls.hasAbandonedParent(possibleCall);
+    if (!possibleCall || this.isUpstreamCall()) return undefined;
+    const doubt = this.childCalls.findDoubt(possibleCall);
+    return doubt ?? (this.isTrusted ? CallDoubt.NO_PARENT : undefined);
   }
 
   /** Records what the request shows of the owner of its connection. */
--- a/packages/sidecar/src/request/originHandler.ts
+++ b/packages/sidecar/src/request/originHandler.ts
@@ -325,17 +325,27 @@
     return {account};
   }
 
-  /** A call of the upstream is proper, also if nobody needs its answer. */
+  /**
+   * A call of the upstream is proper, so a request that may be one is refused as
+   * not run; the upstream can repeat it.
+   */
   private refuseWithoutAccount(
     exchange: ClientExchange,
     {client, route, version, origin}: RequestHead,
   ): void {
-    if (origin.isOrphan()) {
-      const message = 'the call is for a request that has ended';
-      this.refusals.refuseEarly(exchange, Status.UNAVAILABLE, message);
+    const doubt = origin.findDoubt();
+    if (doubt !== undefined) {
+      this.refusals.refuseEarly(exchange, Status.UNAVAILABLE, doubt);
       return;
     }
-    this.refusals.refuseUnauthenticated(exchange, client, route, version);
+    // A call with a shorter limit of its own looks like a client's request.
+    const possibleParent = origin.parent?.requestId;
+    const place = {
+      route: route.name,
+      version,
+      ...(possibleParent === undefined ? {} : {possibleParent}),
+    };
+    this.refusals.refuseUnauthenticated(exchange, client, place);
   }
 
   private start(
--- a/packages/sidecar/src/request/requestRefusals.ts
+++ b/packages/sidecar/src/request/requestRefusals.ts
@@ -7,7 +7,7 @@
 import type {Random} from 'sycamoreyoke/random';
 import type {AccountTable} from 'sycamoreyoke/version/accounts';
 import {KeyHistory} from 'sycamoreyoke/version/keyHistory';
-import type {Route, RouteTable} from 'sycamoreyoke/version/routeTable';
+import type {RouteTable} from 'sycamoreyoke/version/routeTable';
 import type {ClientExchange} from '../connection/clientExchange.js';
 import {ExchangeState} from '../connection/clientExchange.js';
 import {STOP_RETRY_MS} from '../constants.js';
@@ -47,17 +47,13 @@
   refuseUnauthenticated(
     exchange: ClientExchange,
     {requestId, key}: ClientHead,
-    route: Route,
-    version: number,
+    place: EventDetails,
   ): void {
     const fault = describeKeyFault(this.keyHistory, key);
     this.parts.metrics.count('requests_unauthenticated_total');
     countRefusal(this.parts, fault, 'unauthenticated');
-    this.parts.record(
-      EventCode.REQUEST_UNAUTHENTICATED,
-      {...fault, route: route.name, version},
-      requestId,
-    );
+    const details = {...fault, ...place};
+    this.parts.record(EventCode.REQUEST_UNAUTHENTICATED, details, requestId);
     this.refuse(exchange, Status.UNAUTHORIZED, 'the key is missing or unknown');
   }
 
--- a/packages/sidecar/src/request/stopAcceptance.ts
+++ b/packages/sidecar/src/request/stopAcceptance.ts
@@ -1,7 +1,7 @@
 /** Decides which requests a stopping node accepts. */
-import {ParentEvidence} from 'sycamoreyoke/process/callParents';
 import type {StopSchedule} from 'sycamoreyoke/process/stopSchedule';
 import type {ParentRequest} from '../process/parentCall.js';
+import {isCallEvidence} from '../process/parentCall.js';
 
 /** Times on the node's clock and a duration, ms. */
 export interface RequestTiming {
@@ -23,6 +23,6 @@
   if (stop.hasTimeToAnswer(nowMs, deadlineMs, usualMs)) return true;
   if (!parent) return false;
   // If it may be a client's request, it must not be cut off at the end.
-  const isCall = parent.evidence !== ParentEvidence.RECENCY;
+  const isCall = isCallEvidence(parent.evidence);
   return isCall || stop.clampDeadline(deadlineMs) === deadlineMs;
 }
--- a/packages/sidecar/src/wiring.ts
+++ b/packages/sidecar/src/wiring.ts
@@ -191,8 +191,10 @@
     wire,
     presence,
     status,
-    callParents: new CallParents(),
+    callParents: new CallParents(clock.readMs()),
     hasAccounts: () => configuration.read()?.table.accounts !== undefined,
+    readLongestTimeoutMs: () =>
+      configuration.read()?.table.longestTimeouts.get(settings.service) ?? 0,
     pool,
     crashes,
     hasTimeToStart: (deadlineMs) =>
--- a/packages/sycamoreyoke/src/process/callParents.ts
+++ b/packages/sycamoreyoke/src/process/callParents.ts
@@ -97,6 +97,11 @@
   /** Requests without an answer, for which the upstream may still make calls. */
   private readonly abandoned = new Set<ParentState>();
 
+  constructor(
+    /** Time at which the node started, on its clock, ms. */
+    private readonly startedMs: number,
+  ) {}
+
   /** Records that the upstream started to run a request. */
   start(parent: RunningParent, nowMs: number): void {
     const state: ParentState = {
@@ -158,6 +163,23 @@
     return false;
   }
 
+  /**
+   * Whether a call fits a request that a former process of the node can have
+   * passed to the upstream, which is told `longestMs` at most.
+   */
+  hasFormerParent(
+    {earliestMs, leftMs}: PossibleCall,
+    longestMs: number,
+  ): boolean {
+    const latestDeadlineMs = this.startedMs + longestMs;
+    return earliestMs + leftMs <= latestDeadlineMs + MAX_TRANSIT_MS;
+  }
+
+  /** Whether a call fits a running request if it was delayed on its way. */
+  hasDelayedParent(call: PossibleCall): boolean {
+    return this.findDelayed(call) !== undefined;
+  }
+
   /** Records a call of a running request as open. */
   startCall(ticket: string): void {
     const state = this.states.get(ticket);
@@ -234,12 +256,10 @@
  * between the request's start and now, but for transit and rounding.
  */
 function isMatchingCall(state: ParentState, call: PossibleCall): boolean {
-  const {statedDeadlineMs} = state.parent;
-  const {latestMs, leftMs} = call;
+  const latestDeadlineMs = state.parent.statedDeadlineMs + MAX_TRANSIT_MS;
   return (
-    isAfterStart(state, call) &&
-    computeEarliestDeadline(state, call) <= statedDeadlineMs + MAX_TRANSIT_MS &&
-    latestMs + leftMs >= statedDeadlineMs - ROUNDING_MS
+    isDelayedCall(state, call) &&
+    computeEarliestDeadline(state, call) <= latestDeadlineMs
   );
 }
 
--- a/packages/sycamoreyoke/src/process/catalogueEntry.ts
+++ b/packages/sycamoreyoke/src/process/catalogueEntry.ts
@@ -17,3 +17,11 @@
 
 export const ACCOUNT =
   "account: client account whose key the request has, or inferredAccount: account that an upstream's call is probably made for, if any";
+
+/** What is wrong with the key of a request. */
+export const KEY_FAULT = [
+  'hasKey: whether the request had a key',
+  'fault: missing, unknown, shared (by several accounts) or withdrawn (by a later version)',
+  'account: client account that held a withdrawn key',
+  'accounts: client accounts that hold a shared key',
+];
--- a/packages/sycamoreyoke/src/process/eventCatalogue.ts
+++ b/packages/sycamoreyoke/src/process/eventCatalogue.ts
@@ -1,6 +1,7 @@
 /** Meaning of each event code. docs/events.md is generated from it. */
 import {EventCode} from './events.js';
-import {type CatalogueEntry, ACCOUNT, describe} from './catalogueEntry.js';
+import type {CatalogueEntry} from './catalogueEntry.js';
+import {ACCOUNT, KEY_FAULT, describe} from './catalogueEntry.js';
 
 export const EVENT_CATALOGUE: Readonly<Record<EventCode, CatalogueEntry>> = {
   [EventCode.NODE_STARTED]: describe(
@@ -122,11 +123,9 @@
   [EventCode.REQUEST_UNAUTHENTICATED]: describe(
     'The key of the request is missing or belongs to no account.',
     'route',
-    'hasKey: whether the request had a key',
-    'fault: missing, unknown, shared (by several accounts) or withdrawn (by a later version)',
-    'account: client account that held a withdrawn key',
-    'accounts: client accounts that hold a shared key',
+    ...KEY_FAULT,
     'version: configuration version',
+    'possibleParent: running request for which it may be a call with a shorter time limit of its own',
   ),
   [EventCode.REQUEST_NOT_BEGUN]: describe(
     'The origin refused a request because recent requests of its route failed: their calls were rejected further down.',
--- a/packages/sycamoreyoke/src/version/routeTable.ts
+++ b/packages/sycamoreyoke/src/version/routeTable.ts
@@ -61,11 +61,13 @@
   readonly findings: readonly Finding[];
   /** Routes by lower-case host, longest prefix first. */
   readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
+  /** Longest duration of a request by service, ms. */
+  readonly longestTimeouts: ReadonlyMap<string, number>;
 }
 
 /** Indexes the routes by host and sorts them, longest prefix first. */
 export function compileRouteTable(
-  parts: Omit<RouteTable, 'routesByHost'>,
+  parts: Omit<RouteTable, 'routesByHost' | 'longestTimeouts'>,
 ): RouteTable {
   const routesByHost = new Map<string, Route[]>();
   for (const route of parts.routes) {
@@ -77,7 +79,21 @@
   for (const routes of routesByHost.values()) {
     routes.sort((a, b) => b.prefix.length - a.prefix.length);
   }
-  return {...parts, routesByHost};
+  const longestTimeouts = computeLongestTimeouts(parts.routes);
+  return {...parts, routesByHost, longestTimeouts};
+}
+
+function computeLongestTimeouts(
+  routes: readonly Route[],
+): ReadonlyMap<string, number> {
+  const timeouts = new Map<string, number>();
+  for (const {targets, timeoutMs} of routes) {
+    for (const {service} of targets) {
+      const longestMs = Math.max(timeouts.get(service) ?? 0, timeoutMs);
+      timeouts.set(service, longestMs);
+    }
+  }
+  return timeouts;
 }
 
 /**
