--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -97,7 +97,6 @@
   const {outputFiles, metafile} = await build({
     absWorkingDir: root,
     entryPoints: [entryPoint],
-    outfile: join(root, TARGET, 'script.cjs'),
     tsconfig: 'tsconfig.base.json',
     plugins: [createSourceResolver(root)],
     define: constants,
@@ -110,7 +109,6 @@
     minifySyntax: true,
     legalComments: 'none',
   });
-  checkInputs(metafile.inputs, readLockedPackages(root));
   return {text: outputFiles[0].text, inputs: metafile.inputs};
 }
 
@@ -181,8 +179,9 @@
     BUNDLE_NAME: JSON.stringify(name),
   });
   const launcher = starter.text;
-  const cache = compileCodeCache(root, bundle, `${name}.cjs`);
   const inputs = {...sidecar.inputs, ...starter.inputs};
+  checkInputs(inputs, readLockedPackages(root));
+  const cache = compileCodeCache(root, bundle, `${name}.cjs`);
   const sources = JSON.stringify(describeSources(root, inputs), undefined, 1);
   const files = new Map([
     [`${name}.cjs`, bundle],
